--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Targets: build, generate, format, lint, test, check, demo, bench.
+
+MODULES  := api server ctl standin
+PACKAGES := ./api/... ./server/... ./ctl/... ./standin/...
+BIN      := $(CURDIR)/bin
+SOURCES   = $(shell git ls-files -co --exclude-standard '*.go' ':!*.pb.go')
+TOOL     := cd $(CURDIR)/tools && GOWORK=off go tool
+
+.PHONY: build generate format lint test check demo bench
+
+build:
+	go build -o $(BIN)/ ./server/cmd/... ./ctl/cmd/... ./standin/cmd/...
+
+# The generated code is committed; buf and its plugins are only needed after a change of the schema.
+generate:
+	cd tools && GOBIN=$(BIN)/tools GOWORK=off go install tool
+	cd tools/buf && GOBIN=$(BIN)/tools GOWORK=off go install tool
+	cd api && PATH=$(BIN)/tools:$$PATH buf generate
+
+format:
+	$(TOOL) gofumpt -w $(addprefix $(CURDIR)/,$(SOURCES))
+
+lint:
+	@unformatted=$$($(TOOL) gofumpt -l $(addprefix $(CURDIR)/,$(SOURCES))); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet $(PACKAGES)
+	cd tools && GOWORK=off GOBIN=$(BIN)/tools go install honnef.co/go/tools/cmd/staticcheck
+	$(BIN)/tools/staticcheck $(PACKAGES)
+
+test:
+	go test -race -count=1 -timeout 20m $(PACKAGES)
+
+check: lint test demo
+
+demo: build
+	$(BIN)/demo --bin $(BIN)
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1x ./server/... ./standin/...
--- /dev/null
+++ b/ctl/cmd/wagtailctl/main.go
@@ -0,0 +1,4 @@
+// Command wagtailctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/server/cmd/wagtaild/main.go
@@ -0,0 +1,4 @@
+// Command wagtaild is the daemon that runs beside each target.
+package main
+
+func main() {}
--- /dev/null
+++ b/server/protocol/wire/wire.go
@@ -0,0 +1,224 @@
+// Package wire defines the argument and reply types of the net/rpc methods between nodes.
+package wire
+
+import (
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Names of the net/rpc services that a node registers.
+const (
+	ServiceControl   = "Control"
+	ServiceNode      = "Node"
+	ServiceOwnership = "Ownership"
+)
+
+// SyncArgs is a child's poll. It doubles as the child's heartbeat.
+type SyncArgs struct {
+	Node        string
+	Incarnation int64
+	// Entry is the child's own entry; nil if it has not changed since the parent acknowledged it.
+	Entry *endpoint.Entry
+	// Offset is the last log offset that the child has folded, Version its version in force.
+	Offset  uint64
+	Version config.Version
+	Ready   bool
+	// ParentInstance and TableSequence say what the child has seen of the parent's endpoint table.
+	ParentInstance int64
+	TableSequence  uint64
+	// HoldMS is how long the parent may keep the poll open, in milliseconds.
+	HoldMS int64
+	// Peer is true between log followers of different failure domains: no liveness verdict follows.
+	Peer bool
+}
+
+// SyncReply answers a poll.
+type SyncReply struct {
+	// RetryAfterMS is above 0 if the parent refused admission; all other fields are unset then.
+	RetryAfterMS   int64
+	ParentInstance int64
+	// Records follow the child's offset without a gap.
+	Records []config.Record
+	// Snapshot is the encoded state of the fold if the records the child needs are no longer at hand.
+	Snapshot []byte
+	// Entries are those that changed after the child's table sequence.
+	Entries       []endpoint.Entry
+	TableSequence uint64
+	// HighestOffset is the highest log offset that the parent knows to exist.
+	HighestOffset uint64
+	// ContactAgeMS is how long ago the parent, or its own parents, last had contact with the log
+	// or with another failure domain, in milliseconds.
+	ContactAgeMS int64
+	// EntryAcknowledged is true if the parent has the child's current entry.
+	EntryAcknowledged bool
+}
+
+// NodeStatus reports what one node has in force.
+type NodeStatus struct {
+	Node    string
+	Offset  uint64
+	Version config.Version
+	Ready   bool
+}
+
+// StatusArgs asks a relay for itself and its children.
+type StatusArgs struct{}
+
+// StatusReply lists the asked node and its children.
+type StatusReply struct {
+	Nodes []NodeStatus
+}
+
+// DrainArgs asks a node to drain its target, or to undo that.
+type DrainArgs struct {
+	Undrain bool
+}
+
+// DrainReply reports the state of the target after the call.
+type DrainReply struct {
+	State endpoint.State
+}
+
+// DumpArgs asks for the state of the process.
+type DumpArgs struct{}
+
+// DumpReply is the state of the process as JSON.
+type DumpReply struct {
+	JSON []byte
+}
+
+// Header is one HTTP header field.
+type Header struct {
+	Name, Value string
+}
+
+// Request is a caller's request as it travels between nodes.
+type Request struct {
+	// From and ID identify the attempt, for cancellation and fencing. ID is unique among the attempts of From.
+	From    string
+	ID      uint64
+	Service string
+	Method  string
+	// Path includes the query string.
+	Path    string
+	Headers []Header
+	Body    []byte
+	// Key is the idempotency key; empty for an idempotent request.
+	Key string
+	// KeyIssuedMS is the issue time of the key, Unix milliseconds; 0 if not known.
+	KeyIssuedMS int64
+	// KeyFromMesh is true if the ingress generated the key for this request, so no earlier request can carry it.
+	KeyFromMesh bool
+	// TimeoutMS is the time that remains for the request, in milliseconds.
+	TimeoutMS int64
+	// Attempts is the number of attempts left for the whole call chain.
+	Attempts int
+	// Depth is the number of hops that the call chain has taken.
+	Depth int
+}
+
+// Response is the result of a request as it travels between nodes.
+type Response struct {
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
+	// Status, Headers and Body are set if the outcome is Answered.
+	Status  int
+	Headers []Header
+	Body    []byte
+	// Replayed is true if the answer was recorded by an earlier run of the same key.
+	Replayed bool
+	// Owner is the entry to ask instead if the reason is ReasonNotOwner.
+	Owner *endpoint.Entry
+	// InUse and Queued are the slots in use and the queue length at the node when it answered.
+	InUse  int
+	Queued int
+}
+
+// CancelArgs says that the caller of a request is gone.
+type CancelArgs struct {
+	// From is the node that sent the request.
+	From string
+	ID   uint64
+}
+
+// CancelReply is empty.
+type CancelReply struct{}
+
+// KeyState is what a node knows about a key.
+type KeyState uint8
+
+// States of a key.
+const (
+	// KeyFenced means that the attempt had not been seen and will be refused if it arrives later.
+	KeyFenced KeyState = iota + 1
+	KeyRunning
+	// KeyDone means that the key ran; the answer is recorded or was dropped.
+	KeyDone
+	// KeyUnknown means that the key may have run and its outcome was lost.
+	KeyUnknown
+	// KeyMoved means that another node has custody of the key.
+	KeyMoved
+)
+
+// InquireArgs asks the owner of a key what became of it.
+type InquireArgs struct {
+	Service string
+	Key     string
+	// Digest identifies the request, to detect a key that is used for two requests.
+	Digest uint64
+	// From and ID identify the attempt to fence if the owner has not seen it; ID 0 fences nothing.
+	From string
+	ID   uint64
+	// WaitMS is how long to wait for a running request, in milliseconds.
+	WaitMS int64
+}
+
+// InquireReply says what became of the key.
+type InquireReply struct {
+	State    KeyState
+	Response *Response
+	Owner    *endpoint.Entry
+}
+
+// KeyRecord is the custody of one key.
+type KeyRecord struct {
+	Key    string
+	Digest uint64
+	State  KeyState
+	// Executor is the node that runs or ran the key.
+	Executor string
+	// ExpiresInMS is the remaining lifetime in milliseconds.
+	ExpiresInMS int64
+	Response    *Response
+}
+
+// TakeOverArgs announces a joiner to a member of its service.
+type TakeOverArgs struct {
+	Joiner endpoint.Entry
+	// Cursor continues a transfer that did not fit into one reply; 0 starts it.
+	Cursor uint64
+}
+
+// TakeOverReply acknowledges a joiner. From then on the member redirects the keys that the joiner outranks it for.
+type TakeOverReply struct {
+	// Members are the members of the service that the asked node knows.
+	Members []endpoint.Entry
+	Records []KeyRecord
+	// Cursor is above 0 if more records follow.
+	Cursor uint64
+	// KnewPrevious is true if the member knows an earlier incarnation that ended without hand-over.
+	KnewPrevious bool
+}
+
+// HandOverArgs passes the records of a leaving node to the node that is next in rank.
+type HandOverArgs struct {
+	Leaver  string
+	Service string
+	Records []KeyRecord
+}
+
+// HandOverReply acknowledges the records. The sender stays responsible until it has this reply.
+type HandOverReply struct {
+	Accepted bool
+}
--- /dev/null
+++ b/server/state/config/types.go
@@ -0,0 +1,157 @@
+// Package config holds the configuration of the mesh: its content, the records that change it,
+// and the deterministic fold that turns a sequence of log records into the accepted configuration.
+//
+// Everything here is pure: no clock, socket, random source or log line.
+package config
+
+import "time"
+
+// Version is the log offset of the record that created a version. 0 means no version.
+type Version = uint64
+
+// RuleVersion is the version of the validation and fold rules of this build.
+const RuleVersion uint32 = 1
+
+// AnyCaller is the caller identity that matches every caller.
+const AnyCaller = "*"
+
+// Service is a group of targets that run the same application.
+type Service struct {
+	Name        string `msgpack:"n"`
+	Description string `msgpack:"d,omitempty"`
+}
+
+// Destination selects targets of a service.
+type Destination struct {
+	Service string            `msgpack:"s"`
+	Labels  map[string]string `msgpack:"l,omitempty"`
+	Weight  uint32            `msgpack:"w"`
+}
+
+// Route says which targets serve which callers.
+type Route struct {
+	Name         string        `msgpack:"n"`
+	Caller       string        `msgpack:"c"`
+	PathPrefix   string        `msgpack:"p"`
+	Destinations []Destination `msgpack:"d"`
+	// Timeout limits a request; 0 means the daemon's default.
+	Timeout time.Duration `msgpack:"t,omitempty"`
+	// MaxAttempts limits attempts of an idempotent request; 0 means the daemon's default.
+	MaxAttempts uint32 `msgpack:"a,omitempty"`
+	// IdempotentMethods are idempotent in addition to GET, HEAD, OPTIONS, PUT and DELETE.
+	IdempotentMethods []string `msgpack:"i,omitempty"`
+}
+
+// Content is the whole content of a version. Both slices are sorted by name and never modified
+// after the fold returned them.
+type Content struct {
+	Services []Service `msgpack:"s"`
+	Routes   []Route   `msgpack:"r"`
+}
+
+// Record is one record of the log stream, as read from the log or passed on by a parent.
+type Record struct {
+	Offset uint64
+	// TimeMS is the time at which the log stored the record, Unix milliseconds.
+	TimeMS int64
+	Data   []byte
+}
+
+// Op is the operation of a change.
+type Op uint8
+
+// Operations of a change.
+const (
+	OpPutService Op = iota + 1
+	OpDeleteService
+	OpPutRoute
+	OpDeleteRoute
+	OpPublish
+)
+
+// Change is the decoded form of a record. Exactly the fields of its operation are set.
+type Change struct {
+	Rule     uint32  `msgpack:"rule"`
+	ID       string  `msgpack:"id"`
+	Base     Version `msgpack:"base"`
+	Operator string  `msgpack:"operator,omitempty"`
+	Op       Op      `msgpack:"op"`
+	// Service is the new value for OpPutService.
+	Service *Service `msgpack:"service,omitempty"`
+	// Route is the new value for OpPutRoute.
+	Route *Route `msgpack:"route,omitempty"`
+	// Name is the resource to remove for OpDeleteService and OpDeleteRoute.
+	Name string `msgpack:"name,omitempty"`
+	// Content is the new content for OpPublish.
+	Content *Content `msgpack:"content,omitempty"`
+	// CreateOnly rejects a put if the resource exists, UpdateOnly if it does not.
+	CreateOnly bool `msgpack:"create,omitempty"`
+	UpdateOnly bool `msgpack:"update,omitempty"`
+}
+
+// Result says what the fold did with a record.
+type Result uint8
+
+// Results of the fold.
+const (
+	// Accepted means that the record created a version.
+	Accepted Result = iota + 1
+	// Rejected means that the record broke a rule and had no effect.
+	Rejected
+	// Conflicted means that the record lost against an earlier one and had no effect.
+	Conflicted
+	// Repeated means that the change id was decided before; the verdict is the first one's.
+	Repeated
+	// Stale means that the record's offset is not above the state's; it had no effect.
+	Stale
+	// Blocked means that the record's rule version is unknown to this build. The state does not move past it.
+	Blocked
+)
+
+// RejectReason says in a machine-readable form why a record was rejected.
+type RejectReason string
+
+// Reasons of a rejection.
+const (
+	RejectUndecodable     RejectReason = "undecodable"
+	RejectTooLarge        RejectReason = "too_large"
+	RejectInvalidName     RejectReason = "invalid_name"
+	RejectInvalidField    RejectReason = "invalid_field"
+	RejectDuplicateName   RejectReason = "duplicate_name"
+	RejectAmbiguousRoute  RejectReason = "ambiguous_route"
+	RejectUnknownService  RejectReason = "unknown_service"
+	RejectServiceInUse    RejectReason = "service_in_use"
+	RejectNotFound        RejectReason = "not_found"
+	RejectAlreadyExists   RejectReason = "already_exists"
+	RejectLimitExceeded   RejectReason = "limit_exceeded"
+	RejectUnknownRule     RejectReason = "unknown_rule_version"
+	RejectInvalidChangeID RejectReason = "invalid_change_id"
+	RejectUnknownBase     RejectReason = "unknown_base_version"
+)
+
+// Verdict is the fold's decision on one record.
+type Verdict struct {
+	Offset   uint64  `msgpack:"o"`
+	ChangeID string  `msgpack:"id"`
+	Result   Result  `msgpack:"r"`
+	Version  Version `msgpack:"v,omitempty"`
+	// First is the result of the first record of the change id if Result is Repeated.
+	First  Result       `msgpack:"f,omitempty"`
+	Reason RejectReason `msgpack:"why,omitempty"`
+	Detail string       `msgpack:"d,omitempty"`
+	// WinnerID and WinnerOperator name the change that a conflicted record lost against.
+	WinnerID       string `msgpack:"wi,omitempty"`
+	WinnerOperator string `msgpack:"wo,omitempty"`
+	// Current is the version to base a new attempt on.
+	Current Version `msgpack:"c,omitempty"`
+}
+
+// VersionInfo describes an accepted version for the history.
+type VersionInfo struct {
+	Version  Version `msgpack:"v"`
+	ChangeID string  `msgpack:"id"`
+	Operator string  `msgpack:"o,omitempty"`
+	Base     Version `msgpack:"b"`
+	Summary  string  `msgpack:"s"`
+	TimeMS   int64   `msgpack:"t"`
+}
--- /dev/null
+++ b/server/state/endpoint/types.go
@@ -0,0 +1,70 @@
+// Package endpoint holds the endpoint table: one entry per node, written only by that node,
+// merged by last writer wins.
+//
+// Everything here is pure: no clock, socket, random source or log line.
+package endpoint
+
+// State is the liveness state of a node and its target. At the same incarnation and revision the
+// larger state wins.
+type State uint8
+
+// States of an entry.
+const (
+	// NoTarget means that the node is alive and no target has announced itself to it.
+	NoTarget State = iota
+	// Alive means that the target takes work.
+	Alive
+	// Draining means that the target finishes its work and takes no more.
+	Draining
+	// Suspect means that the parent of the node has missed a heartbeat.
+	Suspect
+	// Dead means that the relays of the failure domain declared the node dead.
+	Dead
+	// Left means that the node ended in a planned way and handed its key records over.
+	Left
+)
+
+// CrashCount is the number of target crashes that a node attributes to a request digest.
+type CrashCount struct {
+	Digest uint64
+	Count  uint8
+	// ExpiresMS is the time until which the count applies, Unix milliseconds.
+	ExpiresMS int64
+}
+
+// Key orders the values of one entry. The larger key wins, compared field by field.
+type Key struct {
+	// Incarnation is the process start time in Unix nanoseconds, or one more than the
+	// highest incarnation that a peer reported for the node.
+	Incarnation int64
+	// Revision counts the changes that the owner made within an incarnation.
+	Revision uint64
+	State    State
+}
+
+// Entry describes a node and the target beside it. Entries are immutable once they are in a table.
+type Entry struct {
+	Node string
+	Key
+	// Address is the host:port at which the node accepts peer connections.
+	Address       string
+	FailureDomain string
+	Region        string
+	// Service is the service of the target; empty if no target has announced itself.
+	Service       string
+	TargetAddress string
+	Labels        map[string]string
+	Slots         int
+	// Eligible is true if the node may own keys of its service.
+	Eligible bool
+	// Unclean is true if the previous incarnation ended without handing over its key records.
+	Unclean bool
+	// DiedMS is the time of the death verdict, Unix milliseconds; 0 if the entry is not dead.
+	DiedMS int64
+	// StartedMS is the start time of the target, Unix milliseconds, for slow start.
+	StartedMS int64
+	// Parent is the node that this node syncs with; empty for a log follower.
+	Parent string
+	// Crashes are the crash counts that the node attributes to request digests.
+	Crashes []CrashCount
+}
--- /dev/null
+++ b/server/transport/peer/codec.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/gob"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// messageStream turns frames into gob messages. Each message is one frame, so the size limit holds for
+// the whole message and a partial message is never decoded.
+type messageStream struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	writer  *frameWriter
+	max     int
+	counter *Counters
+
+	// readTimeout limits the wait for the next frame; 0 means no limit.
+	readTimeout time.Duration
+	lastRead    atomic.Int64
+
+	incoming bytes.Buffer
+	decoder  *gob.Decoder
+
+	encodeMu sync.Mutex
+	outgoing bytes.Buffer
+	encoder  *gob.Encoder
+}
+
+func newMessageStream(conn net.Conn, limits Limits, counter *Counters) *messageStream {
+	s := &messageStream{
+		conn:    conn,
+		reader:  bufio.NewReader(conn),
+		writer:  &frameWriter{conn: conn, timeout: limits.WriteTimeout, max: limits.MaxMessageBytes, counter: counter},
+		max:     limits.MaxMessageBytes,
+		counter: counter,
+	}
+	s.decoder = gob.NewDecoder(&s.incoming)
+	s.encoder = gob.NewEncoder(&s.outgoing)
+	s.lastRead.Store(time.Now().UnixNano())
+	return s
+}
+
+// nextMessage reads frames until a data frame arrives and makes its payload available to the decoder.
+// It answers pings on the way.
+func (s *messageStream) nextMessage() error {
+	for {
+		if s.readTimeout > 0 {
+			if err := s.conn.SetReadDeadline(time.Now().Add(s.readTimeout)); err != nil {
+				return err
+			}
+		}
+		kind, payload, err := readFrame(s.reader, s.max)
+		if err != nil {
+			return err
+		}
+		s.counter.bytesReceived.Add(int64(len(payload) + frameHeaderBytes))
+		s.lastRead.Store(time.Now().UnixNano())
+		switch kind {
+		case framePing:
+			if err := s.writer.control(framePong); err != nil {
+				return err
+			}
+		case frameData:
+			s.incoming.Reset()
+			s.incoming.Write(payload)
+			return nil
+		}
+	}
+}
+
+// send encodes the values as one message.
+func (s *messageStream) send(values ...any) error {
+	s.encodeMu.Lock()
+	defer s.encodeMu.Unlock()
+	s.outgoing.Reset()
+	s.outgoing.Write(make([]byte, frameHeaderBytes))
+	for _, v := range values {
+		if err := s.encoder.Encode(v); err != nil {
+			// The encoder may have recorded types that the other end never saw.
+			s.conn.Close()
+			return &NotSentError{Cause: err}
+		}
+	}
+	err := s.writer.write(frameData, s.outgoing.Bytes())
+	if err != nil {
+		s.conn.Close()
+	}
+	if s.outgoing.Cap() > maxRetainedBuffer {
+		s.outgoing = bytes.Buffer{}
+	}
+	return err
+}
+
+// maxRetainedBuffer is the largest encode buffer, in bytes, that a connection keeps between messages.
+const maxRetainedBuffer = 64 << 10
+
+// clientCodec is the client half of net/rpc on a message stream.
+type clientCodec struct {
+	*messageStream
+}
+
+func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.send(r, body)
+}
+
+func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	if err := c.nextMessage(); err != nil {
+		return err
+	}
+	return c.decoder.Decode(r)
+}
+
+func (c *clientCodec) ReadResponseBody(body any) error {
+	return c.decoder.Decode(body)
+}
+
+func (c *clientCodec) Close() error {
+	return c.conn.Close()
+}
+
+// serverCodec is the server half of net/rpc on a message stream.
+type serverCodec struct {
+	*messageStream
+	// pending limits the requests of one connection that run at the same time.
+	pending chan struct{}
+}
+
+func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	if err := c.nextMessage(); err != nil {
+		return io.EOF
+	}
+	if err := c.decoder.Decode(r); err != nil {
+		return io.EOF
+	}
+	c.pending <- struct{}{}
+	return nil
+}
+
+func (c *serverCodec) ReadRequestBody(body any) error {
+	return c.decoder.Decode(body)
+}
+
+func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	<-c.pending
+	return c.send(r, body)
+}
+
+func (c *serverCodec) Close() error {
+	return c.conn.Close()
+}
--- /dev/null
+++ b/server/transport/peer/frame.go
@@ -0,0 +1,85 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Kinds of frames on a connection.
+const (
+	frameData byte = iota + 1
+	framePing
+	framePong
+)
+
+// frameHeaderBytes is the size of a frame header: one byte kind, four bytes payload length.
+const frameHeaderBytes = 5
+
+// ErrFrame means that the other end sent bytes that are not a valid frame.
+var ErrFrame = errors.New("invalid frame")
+
+// readFrame reads one frame. It refuses a payload above maxBytes before it allocates memory for it.
+func readFrame(r io.Reader, maxBytes int) (kind byte, payload []byte, err error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return 0, nil, err
+	}
+	kind = header[0]
+	size := binary.BigEndian.Uint32(header[1:])
+	if kind < frameData || kind > framePong {
+		return 0, nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
+	}
+	if uint64(size) > uint64(maxBytes) {
+		return 0, nil, fmt.Errorf("%w: %d bytes, the limit is %d", ErrFrame, size, maxBytes)
+	}
+	if kind != frameData && size != 0 {
+		return 0, nil, fmt.Errorf("%w: payload in a frame of kind %d", ErrFrame, kind)
+	}
+	payload = make([]byte, size)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return kind, payload, nil
+}
+
+// frameWriter writes frames to a connection; it is safe for concurrent use.
+type frameWriter struct {
+	mu      sync.Mutex
+	conn    net.Conn
+	timeout time.Duration
+	max     int
+	counter *Counters
+}
+
+// write sends one frame. The payload must start with frameHeaderBytes spare bytes.
+func (w *frameWriter) write(kind byte, frame []byte) error {
+	size := len(frame) - frameHeaderBytes
+	if size > w.max {
+		return &NotSentError{Cause: fmt.Errorf("%w: message of %d bytes, the limit is %d", ErrFrame, size, w.max)}
+	}
+	frame[0] = kind
+	binary.BigEndian.PutUint32(frame[1:], uint32(size))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		return &NotSentError{Cause: err}
+	}
+	n, err := w.conn.Write(frame)
+	w.counter.bytesSent.Add(int64(n))
+	if err != nil {
+		// The other end never acts on a partial frame, so a failed write is a request that was not sent.
+		w.conn.Close()
+		return &NotSentError{Cause: err}
+	}
+	return nil
+}
+
+// control sends a frame without payload.
+func (w *frameWriter) control(kind byte) error {
+	return w.write(kind, make([]byte, frameHeaderBytes))
+}
--- /dev/null
+++ b/server/transport/peer/peer_test.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type echo struct {
+	release chan struct{}
+}
+
+func (e *echo) Say(args *string, reply *string) error {
+	*reply = *args
+	return nil
+}
+
+func (e *echo) Wait(_ *string, _ *string) error {
+	<-e.release
+	return nil
+}
+
+func (e *echo) Fail(_ *string, _ *string) error {
+	return errors.New("refused by the method")
+}
+
+func testLimits() Limits {
+	l := DefaultLimits()
+	l.MaxMessageBytes = 64 << 10
+	l.PingInterval = 20 * time.Millisecond
+	l.SilenceTimeout = 100 * time.Millisecond
+	return l
+}
+
+func startServer(t *testing.T, c Credential) (address string, e *echo) {
+	t.Helper()
+	e = &echo{release: make(chan struct{})}
+	r := rpc.NewServer()
+	assert.NilError(t, r.RegisterName("Echo", e))
+	s := NewServer(r, c, testLimits())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go s.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		close(e.release)
+		s.Close()
+	})
+	return l.Addr().String(), e
+}
+
+var testCredential = Credential{Cluster: "test", Secret: []byte("secret")}
+
+func newTestPool(t *testing.T, c Credential) *Pool {
+	t.Helper()
+	p := NewPool(c, testLimits())
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against a call that reports the wrong certainty about whether its request was sent.
+func TestCallOutcomes(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed.Close()
+	tests := []struct {
+		name       string
+		credential Credential
+		address    string
+		method     string
+		argument   string
+		check      func(error) bool
+	}{
+		{"reply", testCredential, address, "Echo.Say", "a", func(err error) bool { return err == nil }},
+		{"method error", testCredential, address, "Echo.Fail", "a", func(err error) bool {
+			var remote rpc.ServerError
+			return errors.As(err, &remote)
+		}},
+		{"wrong cluster", Credential{Cluster: "other", Secret: testCredential.Secret}, address, "Echo.Say", "a", isNotSent},
+		{"wrong secret", Credential{Cluster: "test", Secret: []byte("x")}, address, "Echo.Say", "a", isNotSent},
+		{"connection refused", testCredential, closed.Addr().String(), "Echo.Say", "a", isNotSent},
+		{"message too large", testCredential, address, "Echo.Say", strings.Repeat("x", 65<<10), isNotSent},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			pool := newTestPool(t, test.credential)
+			var reply string
+			err := pool.Call(context.Background(), test.address, test.method, &test.argument, &reply)
+			assert.Assert(t, test.check(err), "got %v", err)
+		})
+	}
+}
+
+func isNotSent(err error) bool {
+	var notSent *NotSentError
+	return errors.As(err, &notSent)
+}
+
+func isLost(err error) bool {
+	var lost *LostError
+	return errors.As(err, &lost)
+}
+
+// Guards against a slow method being mistaken for a silent connection: pings are answered while it runs.
+func TestSlowMethodIsNotSilence(t *testing.T) {
+	address, e := startServer(t, testCredential)
+	pool := newTestPool(t, testCredential)
+	done := make(chan error, 1)
+	go func() {
+		var args, reply string
+		done <- pool.Call(context.Background(), address, "Echo.Wait", &args, &reply)
+	}()
+	time.Sleep(4 * testLimits().SilenceTimeout)
+	e.release <- struct{}{}
+	assert.NilError(t, <-done)
+	assert.Equal(t, pool.Counters().Values().Silent, int64(0))
+}
+
+// Guards against a call that waits for ever on a connection that something in between has forgotten.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	pool := newTestPool(t, testCredential)
+	silent := make(chan net.Conn, 1)
+	direct := pool.dial
+	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
+		conn, err := direct(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		wrapped := &mutedConn{Conn: conn, muted: make(chan struct{})}
+		silent <- wrapped
+		return wrapped, nil
+	}
+	args, reply := "a", ""
+	assert.NilError(t, pool.Call(context.Background(), address, "Echo.Say", &args, &reply))
+	close((<-silent).(*mutedConn).muted)
+	err := pool.Call(context.Background(), address, "Echo.Say", &args, &reply)
+	assert.Assert(t, isLost(err), "got %v", err)
+	assert.Equal(t, pool.Counters().Values().Silent, int64(1))
+	assert.NilError(t, pool.Call(context.Background(), address, "Echo.Say", &args, &reply))
+}
+
+// mutedConn drops everything in both directions once muted is closed, without closing the connection.
+type mutedConn struct {
+	net.Conn
+	muted chan struct{}
+}
+
+func (c *mutedConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.muted:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// Guards against garbage from an unauthenticated or faulty peer that harms the server.
+func TestGarbageIsRefused(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.Write(bytes.Repeat([]byte{0xff}, 4096))
+	assert.NilError(t, err)
+	authenticated, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer authenticated.Close()
+	assert.NilError(t, dialHandshake(authenticated, testCredential, time.Second))
+	_, err = authenticated.Write([]byte{frameData, 0, 0, 0, 3, 1, 2, 3})
+	assert.NilError(t, err)
+	pool := newTestPool(t, testCredential)
+	args, reply := "a", ""
+	assert.NilError(t, pool.Call(context.Background(), address, "Echo.Say", &args, &reply))
+}
+
+// Guards against a frame header that makes the reader allocate or accept more than the limit.
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{frameData, 0, 0, 0, 1, 7})
+	f.Add([]byte{framePing, 0, 0, 0, 0})
+	f.Add([]byte{frameData, 0xff, 0xff, 0xff, 0xff})
+	const limit = 1 << 10
+	f.Fuzz(func(t *testing.T, data []byte) {
+		kind, payload, err := readFrame(bytes.NewReader(data), limit)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, len(payload) <= limit)
+		assert.Assert(t, kind == frameData || len(payload) == 0)
+	})
+}
--- /dev/null
+++ b/server/transport/peer/pool.go
@@ -0,0 +1,226 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Pool keeps one connection for each address and multiplexes calls on it.
+type Pool struct {
+	credential Credential
+	limits     Limits
+	counter    Counters
+	// dial opens a connection; tests replace it.
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mu     sync.Mutex
+	conns  map[string]*clientConn
+	closed bool
+}
+
+// clientConn is one connection, or the attempt to open it.
+type clientConn struct {
+	address string
+	opened  chan struct{}
+	err     error
+	client  *rpc.Client
+	stream  *messageStream
+	pending atomic.Int64
+	lastUse atomic.Int64
+	dead    atomic.Bool
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewPool returns a pool without connections.
+func NewPool(credential Credential, limits Limits) *Pool {
+	dialer := &net.Dialer{Timeout: limits.DialTimeout, KeepAlive: 15 * time.Second}
+	return &Pool{
+		credential: credential,
+		limits:     limits,
+		conns:      make(map[string]*clientConn),
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+	}
+}
+
+// Counters returns the counters of the pool.
+func (p *Pool) Counters() *Counters { return &p.counter }
+
+// Call calls method at address and waits for the reply or the end of ctx. It returns nil, a *NotSentError, a
+// *LostError, or an rpc.ServerError that the method returned. The end of ctx after the request was sent is a
+// *LostError.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	conn, err := p.get(ctx, address)
+	if err != nil {
+		return &NotSentError{Cause: err}
+	}
+	now := time.Now().UnixNano()
+	if conn.pending.Add(1) == 1 {
+		// Silence counts from the start of the call, not from the last use of an idle connection.
+		conn.stream.lastRead.Store(now)
+	}
+	conn.lastUse.Store(now)
+	defer conn.pending.Add(-1)
+	call := conn.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return p.classify(conn, call.Error)
+	case <-ctx.Done():
+		return &LostError{Cause: ctx.Err()}
+	}
+}
+
+func (p *Pool) classify(conn *clientConn, err error) error {
+	if err == nil {
+		return nil
+	}
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return remote
+	}
+	p.drop(conn)
+	var notSent *NotSentError
+	if errors.As(err, &notSent) {
+		return notSent
+	}
+	return &LostError{Cause: err}
+}
+
+// get returns an open connection and opens one if there is none.
+func (p *Pool) get(ctx context.Context, address string) (*clientConn, error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	conn, ok := p.conns[address]
+	if !ok || conn.dead.Load() {
+		conn = &clientConn{address: address, opened: make(chan struct{}), done: make(chan struct{})}
+		p.conns[address] = conn
+		go p.open(conn)
+	}
+	p.mu.Unlock()
+	select {
+	case <-conn.opened:
+		return conn, conn.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// open dials once for all callers that wait for the connection.
+func (p *Pool) open(conn *clientConn) {
+	defer close(conn.opened)
+	ctx, cancel := context.WithTimeout(context.Background(), p.limits.DialTimeout)
+	defer cancel()
+	raw, err := p.dial(ctx, conn.address)
+	if err == nil {
+		err = dialHandshake(raw, p.credential, p.limits.HandshakeTimeout)
+		if err != nil {
+			raw.Close()
+		}
+	}
+	if err != nil {
+		conn.err = err
+		p.forget(conn)
+		return
+	}
+	p.counter.opened.Add(1)
+	p.counter.open.Add(1)
+	conn.stream = newMessageStream(raw, p.limits, &p.counter)
+	conn.lastUse.Store(time.Now().UnixNano())
+	conn.client = rpc.NewClientWithCodec(&clientCodec{conn.stream})
+	go p.watch(conn)
+}
+
+// watch pings a connection that is quiet while calls are pending, gives it up when it stays silent, and closes it
+// when it is idle.
+func (p *Pool) watch(conn *clientConn) {
+	ticker := time.NewTicker(p.limits.PingInterval / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-conn.done:
+			return
+		case <-ticker.C:
+		}
+		now := time.Now().UnixNano()
+		if conn.pending.Load() == 0 {
+			if now-conn.lastUse.Load() > int64(p.limits.IdleTimeout) {
+				p.drop(conn)
+				return
+			}
+			continue
+		}
+		quiet := time.Duration(now - conn.stream.lastRead.Load())
+		switch {
+		case quiet >= p.limits.SilenceTimeout:
+			p.counter.silent.Add(1)
+			p.drop(conn)
+			return
+		case quiet >= p.limits.PingInterval:
+			if err := conn.stream.writer.control(framePing); err != nil {
+				p.drop(conn)
+				return
+			}
+		}
+	}
+}
+
+// forget removes a connection from the pool, so that the next call opens a new one.
+func (p *Pool) forget(conn *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conn.dead.Store(true)
+	if p.conns[conn.address] == conn {
+		delete(p.conns, conn.address)
+	}
+}
+
+// drop removes and closes a connection.
+func (p *Pool) drop(conn *clientConn) {
+	p.forget(conn)
+	conn.once.Do(func() {
+		close(conn.done)
+		conn.client.Close()
+		p.counter.open.Add(-1)
+	})
+}
+
+// Drop closes the connection to an address, if there is one. Pending calls on it end with a *LostError.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	conn := p.conns[address]
+	p.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	<-conn.opened
+	if conn.err == nil {
+		p.drop(conn)
+	}
+}
+
+// Close closes every connection and refuses further calls.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	conns := make([]*clientConn, 0, len(p.conns))
+	for _, conn := range p.conns {
+		conns = append(conns, conn)
+	}
+	p.mu.Unlock()
+	for _, conn := range conns {
+		<-conn.opened
+		if conn.err == nil {
+			p.drop(conn)
+		}
+	}
+}
