--- /dev/null
+++ b/server/daemon/settings/keys.go
@@ -0,0 +1,149 @@
+package settings
+
+import "time"
+
+const (
+	kib = 1 << 10
+	mib = 1 << 20
+	day = 24 * time.Hour
+)
+
+// keysOf lists every key in the order of the file, bound to the fields of s.
+func keysOf(s *Settings) []key {
+	var keys []key
+	for _, group := range [][]key{
+		nodeKeys(&s.Node), listenKeys(&s.Listen), securityKeys(&s.Security), logKeys(&s.Log),
+		fanoutKeys(&s.Fanout), membershipKeys(&s.Membership), routingKeys(&s.Routing),
+		admissionKeys(&s.Admission), keyRecordKeys(&s.Keys), suspectKeys(&s.Suspects),
+		limitKeys(&s.Limits), targetKeys(&s.Target),
+	} {
+		keys = append(keys, group...)
+	}
+	return keys
+}
+
+func nodeKeys(n *Node) []key {
+	return section("node",
+		name("name", &n.Name, required, "name of the node, unique in the cluster"),
+		name("cluster", &n.Cluster, required, "name of the cluster; nodes of other clusters are refused"),
+		name("region", &n.Region, required, "region of the VM"),
+		name("failure_domain", &n.FailureDomain, required, "failure domain of the VM"),
+		addresses("seeds", &n.Seeds, "peer addresses of other nodes, used when the log has none"),
+		choice("profile", (*string)(&n.Profile), string(ConvergenceFirst), "defaults that favour convergence time or control bytes",
+			string(ConvergenceFirst), string(BytesFirst)),
+		size("memory_limit", &n.MemoryLimit, "64MiB", 16*mib, 4096*mib, "soft memory limit of the process"),
+		duration("shutdown_timeout", &n.ShutdownTimeout, "30s", time.Second, time.Hour, "bound of a graceful shutdown"),
+	)
+}
+
+func listenKeys(l *Listen) []key {
+	return section("listen",
+		address("peer", &l.Peer, required, "address for other nodes"),
+		address("ingress", &l.Ingress, required, "address for callers"),
+		address("operator", &l.Operator, optional, "address for operators; empty for none"),
+		address("announce", &l.Announce, required, "loopback address for the target"),
+		address("admin", &l.Admin, required, "loopback address for metrics, dump and health"),
+	)
+}
+
+func securityKeys(s *Security) []key {
+	return section("security",
+		text("cluster_credential", &s.ClusterCredential, "credential that all nodes share, at least 16 bytes"),
+		text("cluster_credential_file", &s.ClusterCredentialFile, "file with the credential, instead of cluster_credential"),
+		text("operator_cert_file", &s.OperatorCertFile, "certificate of the operator listener, PEM"),
+		text("operator_key_file", &s.OperatorKeyFile, "private key of the operator listener, PEM"),
+		text("operator_ca_file", &s.OperatorCAFile, "certificate authority of operators' certificates, PEM"),
+		boolean("operator_insecure", &s.OperatorInsecure, "allows operators without TLS on a non-loopback address"),
+	)
+}
+
+func logKeys(l *Log) []key {
+	return section("log",
+		text("url", &l.URL, "base URL of the log service").require(),
+		duration("append_timeout", &l.AppendTimeout, "3s", 100*time.Millisecond, time.Minute, "time limit of an append"),
+		duration("poll_wait", &l.PollWait, "10s", 100*time.Millisecond, time.Minute, "how long a read of the log waits for records"),
+		duration("retention", &l.Retention, "24h", time.Second, 365*day, "how long the log keeps records"),
+		integer("snapshot_records", &l.SnapshotRecords, "500", 1, 100000, "records after which a snapshot is written"),
+		integer("delta_window_records", &l.DeltaWindowRecords, "1024", 16, 100000, "records that a parent keeps for its children"),
+		duration("retry_max", &l.RetryMax, "5s", 100*time.Millisecond, time.Minute, "longest wait between two attempts to reach the log"),
+	)
+}
+
+func fanoutKeys(f *Fanout) []key {
+	return section("fanout",
+		choice("mode", &f.Mode, FanoutTree, "tree, or flat for a small fleet in which every node follows the log", FanoutTree, FanoutFlat),
+		integer("followers_per_domain", &f.FollowersPerDomain, "2", 1, 16, "log followers in each failure domain"),
+		integer("relay_children", &f.RelayChildren, "24", 2, 1000, "children that a relay serves"),
+		duration("sync_hold", &f.SyncHold, "1s", 50*time.Millisecond, 30*time.Second, "how long a parent keeps a poll open").profiled("3s"),
+		duration("coalesce_window", &f.CoalesceWindow, "20ms", 0, 5*time.Second, "how long a parent collects changes before it answers").profiled("500ms"),
+		rate("sync_admission_rate", &f.SyncAdmissionRate, "50/s", 1, 10000, "new children that a parent admits"),
+		duration("reconnect_jitter", &f.ReconnectJitter, "500ms", 0, time.Minute, "largest random delay before a reconnect"),
+		duration("seed_interval", &f.SeedInterval, "10m", time.Second, day, "interval at which followers publish seed addresses"),
+	)
+}
+
+func membershipKeys(m *Membership) []key {
+	return section("membership",
+		duration("suspect_after", &m.SuspectAfter, "1s", 50*time.Millisecond, time.Minute, "overdue time of a heartbeat after which a node is suspected").profiled("2s"),
+		duration("dead_after", &m.DeadAfter, "5s", 100*time.Millisecond, 10*time.Minute, "time without heartbeat after which a node is declared dead").profiled("9s"),
+		duration("self_fence", &m.SelfFence, "4s", 100*time.Millisecond, 10*time.Minute, "time without contact after which a node starts no request that has a key").profiled("7s"),
+		fraction("panic_fraction", &m.PanicFraction, "0.5", "fraction of alive targets below which suspect and dead ones are tried too"),
+	)
+}
+
+func routingKeys(r *Routing) []key {
+	return section("routing",
+		duration("default_timeout", &r.DefaultTimeout, "10s", 10*time.Millisecond, 10*time.Minute, "time limit of a request whose route sets none"),
+		integer("max_attempts", &r.MaxAttempts, "3", 1, 10, "attempts of an idempotent request whose route sets none"),
+		fraction("retry_fraction", &r.RetryFraction, "0.1", "retries as a fraction of first attempts"),
+		integer("eject_failures", &r.EjectFailures, "3", 1, 100, "consecutive failures after which a target is ejected"),
+		duration("eject_time", &r.EjectTime, "5s", 100*time.Millisecond, 10*time.Minute, "how long a target stays ejected"),
+		duration("slow_start", &r.SlowStart, "10s", 0, 10*time.Minute, "time over which a new target gets its full share"),
+		integer("max_depth", &r.MaxDepth, "16", 1, 64, "hops of a call chain"),
+	)
+}
+
+func admissionKeys(a *Admission) []key {
+	return section("admission",
+		integer("slots", &a.Slots, "18", 1, 10000, "concurrent requests of a target that announces no number"),
+		integer("queue", &a.Queue, "36", 0, 100000, "requests that wait for a slot"),
+		integer("workers", &a.Workers, "512", 1, 100000, "requests in progress in this process"),
+	)
+}
+
+func keyRecordKeys(k *Keys) []key {
+	return section("keys",
+		duration("key_retention", &k.KeyRetention, "10m", time.Second, 7*day, "how long a key is remembered and callers may repeat it"),
+		duration("clock_skew_max", &k.ClockSkewMax, "2s", 10*time.Millisecond, time.Hour, "largest difference of two clocks"),
+		integer("records_max", &k.RecordsMax, "50000", 1, 10000000, "keys remembered; more are refused"),
+		size("answer_bytes_max", &k.AnswerBytesMax, "8MiB", 0, 4096*mib, "recorded answers; the oldest are dropped first"),
+	)
+}
+
+func suspectKeys(s *Suspects) []key {
+	return section("suspects",
+		integer("crash_limit", &s.CrashLimit, "3", 1, 100, "crashes after which a request is refused"),
+		duration("suspect_ttl", &s.SuspectTTL, "10m", time.Second, 7*day, "how long crashes of a request are remembered"),
+		integer("suspects_max", &s.SuspectsMax, "16", 1, 256, "requests under suspicion that a node remembers"),
+	)
+}
+
+func limitKeys(l *Limits) []key {
+	return section("limits",
+		size("body_max", &l.BodyMax, "1MiB", kib, 64*mib, "largest body of a request or response"),
+		size("header_max", &l.HeaderMax, "16KiB", kib, mib, "largest header of a request"),
+		integer("connections_max", &l.ConnectionsMax, "2048", 1, 100000, "connections of each listener"),
+		duration("read_timeout", &l.ReadTimeout, "30s", 100*time.Millisecond, 10*time.Minute, "time limit for reading a request"),
+		duration("idle_timeout", &l.IdleTimeout, "60s", 100*time.Millisecond, time.Hour, "how long an idle connection is kept"),
+		duration("silence_timeout", &l.SilenceTimeout, "1s", 50*time.Millisecond, time.Minute, "silence after which a connection with pending calls is replaced"),
+		size("message_max", &l.MessageMax, "4MiB", 64*kib, 256*mib, "largest message between nodes"),
+	)
+}
+
+func targetKeys(t *Target) []key {
+	return section("target",
+		duration("announce_lease", &t.AnnounceLease, "5s", 100*time.Millisecond, 10*time.Minute, "time after which an announcement lapses without renewal"),
+		integer("connections_max", &t.ConnectionsMax, "32", 1, 10000, "connections to the target"),
+		duration("health_interval", &t.HealthInterval, "2s", 100*time.Millisecond, 10*time.Minute, "interval of health checks"),
+	)
+}
--- /dev/null
+++ b/server/daemon/settings/settings.go
@@ -0,0 +1,152 @@
+// Package settings reads and checks the INI file of a daemon. Every key has a default or is required, and the
+// whole file is checked at start: unknown sections and keys and values out of range are refused together.
+package settings
+
+import "time"
+
+// Profile selects the defaults of the keys that trade convergence time against control bytes.
+type Profile string
+
+// Profiles.
+const (
+	ConvergenceFirst Profile = "convergence-first"
+	BytesFirst       Profile = "bytes-first"
+)
+
+// Fan-out modes.
+const (
+	FanoutTree = "tree"
+	FanoutFlat = "flat"
+)
+
+// Settings are the checked settings of one daemon.
+type Settings struct {
+	Node       Node
+	Listen     Listen
+	Security   Security
+	Log        Log
+	Fanout     Fanout
+	Membership Membership
+	Routing    Routing
+	Admission  Admission
+	Keys       Keys
+	Suspects   Suspects
+	Limits     Limits
+	Target     Target
+}
+
+// Node names the process and its place.
+type Node struct {
+	Name          string
+	Cluster       string
+	Region        string
+	FailureDomain string
+	// Seeds are host:port addresses of other nodes' peer listeners.
+	Seeds   []string
+	Profile Profile
+	// MemoryLimit is the soft memory limit of the Go runtime in bytes.
+	MemoryLimit     int64
+	ShutdownTimeout time.Duration
+}
+
+// Listen holds host:port addresses.
+type Listen struct {
+	Peer     string
+	Ingress  string
+	Operator string
+	Announce string
+	Admin    string
+}
+
+// Security holds credentials and certificate files.
+type Security struct {
+	ClusterCredential     string
+	ClusterCredentialFile string
+	OperatorCertFile      string
+	OperatorKeyFile       string
+	OperatorCAFile        string
+	OperatorInsecure      bool
+}
+
+// Log holds the settings of the log service's client and follower.
+type Log struct {
+	URL                string
+	AppendTimeout      time.Duration
+	PollWait           time.Duration
+	Retention          time.Duration
+	SnapshotRecords    int
+	DeltaWindowRecords int
+	RetryMax           time.Duration
+}
+
+// Fanout holds the settings of the sync tree.
+type Fanout struct {
+	Mode               string
+	FollowersPerDomain int
+	RelayChildren      int
+	SyncHold           time.Duration
+	CoalesceWindow     time.Duration
+	// SyncAdmissionRate limits new children, per second.
+	SyncAdmissionRate int
+	ReconnectJitter   time.Duration
+	SeedInterval      time.Duration
+}
+
+// Membership holds the settings of liveness verdicts.
+type Membership struct {
+	SuspectAfter  time.Duration
+	DeadAfter     time.Duration
+	SelfFence     time.Duration
+	PanicFraction float64
+}
+
+// Routing holds the settings of target selection and retries.
+type Routing struct {
+	DefaultTimeout time.Duration
+	MaxAttempts    int
+	RetryFraction  float64
+	EjectFailures  int
+	EjectTime      time.Duration
+	SlowStart      time.Duration
+	MaxDepth       int
+}
+
+// Admission holds the limits of work in progress.
+type Admission struct {
+	Slots   int
+	Queue   int
+	Workers int
+}
+
+// Keys holds the settings of idempotency records.
+type Keys struct {
+	KeyRetention   time.Duration
+	ClockSkewMax   time.Duration
+	RecordsMax     int
+	AnswerBytesMax int64
+}
+
+// Suspects holds the settings of requests that crash targets.
+type Suspects struct {
+	CrashLimit  int
+	SuspectTTL  time.Duration
+	SuspectsMax int
+}
+
+// Limits bound every listener and connection.
+type Limits struct {
+	BodyMax        int64
+	HeaderMax      int64
+	ConnectionsMax int
+	ReadTimeout    time.Duration
+	IdleTimeout    time.Duration
+	SilenceTimeout time.Duration
+	MessageMax     int64
+}
+
+// Target holds the settings of the target beside the node.
+type Target struct {
+	AnnounceLease  time.Duration
+	ConnectionsMax int
+	HealthInterval time.Duration
+}
