--- /dev/null
+++ b/ctl/command/mesh.go
@@ -0,0 +1,197 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	pb "wagtailford.example/api/wagtailford/v1"
+	"wagtailford.example/ctl/client"
+)
+
+// Intervals between two calls that read the status.
+const (
+	waitInterval  = 100 * time.Millisecond
+	watchInterval = time.Second
+)
+
+func (a *app) statusCommand() *cobra.Command {
+	var watch bool
+	var version uint64
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show the version in force on each node and how far convergence is",
+		Args:  args(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for {
+				if err := a.call(func(ctx context.Context, c *client.Client) error {
+					return a.printStatus(ctx, c, version)
+				}); err != nil || !watch {
+					return err
+				}
+				select {
+				case <-cmd.Context().Done():
+					return nil
+				case <-time.After(watchInterval):
+				}
+			}
+		},
+	}
+	cmd.Flags().BoolVarP(&watch, "watch", "w", false, "repeat every second until interrupted")
+	cmd.Flags().Uint64Var(&version, "version", 0, "version to measure convergence against, 0 for the current one")
+	return cmd
+}
+
+func (a *app) printStatus(ctx context.Context, c *client.Client, version uint64) error {
+	response, err := c.Mesh.GetStatus(ctx, &pb.GetStatusRequest{Version: version})
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, n := range response.GetNodes() {
+		reported := fmt.Sprint(n.GetVersion())
+		if n.GetUnreachable() {
+			reported = "unreachable"
+		}
+		rows = append(rows, []string{n.GetNode(), n.GetFailureDomain(), n.GetState(), fmt.Sprint(n.GetReady()), reported})
+	}
+	rows = append(rows, []string{"TOTAL", "", "", "", fmt.Sprintf("%d of %d at version %d",
+		response.GetConverged(), len(response.GetNodes()), response.GetVersion())})
+	if reason := response.GetBlockedReason(); reason != "" {
+		rows = append(rows, []string{"BLOCKED", "", "", "", reason})
+	}
+	return a.printer.Print(response, []string{"NODE", "FAILURE DOMAIN", "STATE", "READY", "VERSION"}, rows)
+}
+
+// waitConverged returns when the version is in force on every node that is not declared dead or left.
+func waitConverged(ctx context.Context, c *client.Client, version uint64) error {
+	var lagging []string
+	for {
+		response, err := c.Mesh.GetStatus(ctx, &pb.GetStatusRequest{Version: version})
+		switch {
+		case err == nil:
+			lagging = laggingNodes(response, version)
+		case ctx.Err() == nil:
+			return err
+		}
+		if err == nil && len(lagging) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &client.NotConvergedError{Version: version, Nodes: lagging}
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func laggingNodes(response *pb.GetStatusResponse, version uint64) []string {
+	var lagging []string
+	for _, n := range response.GetNodes() {
+		if n.GetState() == "dead" || n.GetState() == "left" {
+			continue
+		}
+		if n.GetUnreachable() || n.GetVersion() < version {
+			lagging = append(lagging, n.GetNode())
+		}
+	}
+	return lagging
+}
+
+func (a *app) targetCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "target", Short: "List, drain and undrain targets"}
+	cmd.AddCommand(a.listTargetsCommand(), a.drainCommand(), a.undrainCommand())
+	return cmd
+}
+
+func (a *app) listTargetsCommand() *cobra.Command {
+	var service string
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List the targets that have announced themselves",
+		Args:  args(0),
+		RunE: func(*cobra.Command, []string) error {
+			return a.call(func(ctx context.Context, c *client.Client) error {
+				all := &pb.ListTargetsResponse{}
+				request := &pb.ListTargetsRequest{Service: service, PageSize: pageSize}
+				for {
+					page, err := c.Mesh.ListTargets(ctx, request)
+					if err != nil {
+						return err
+					}
+					all.Targets = append(all.Targets, page.GetTargets()...)
+					request.PageToken = page.GetNextPageToken()
+					if request.PageToken == "" {
+						break
+					}
+				}
+				var rows [][]string
+				for _, t := range all.GetTargets() {
+					rows = append(rows, []string{
+						t.GetNode(), t.GetService(), t.GetAddress(), t.GetFailureDomain(), fmt.Sprint(t.GetSlots()), t.GetState(),
+					})
+				}
+				return a.printer.Print(all, []string{"NODE", "SERVICE", "ADDRESS", "FAILURE DOMAIN", "SLOTS", "STATE"}, rows)
+			})
+		},
+	}
+	cmd.Flags().StringVar(&service, "service", "", "restrict the list to one service")
+	return cmd
+}
+
+func (a *app) drainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain NODE",
+		Short: "Stop new work for the target beside a node; work in flight finishes",
+		Args:  args(1),
+		RunE: func(_ *cobra.Command, values []string) error {
+			return a.call(func(ctx context.Context, c *client.Client) error {
+				response, err := c.Mesh.DrainTarget(ctx, &pb.DrainTargetRequest{Node: values[0]})
+				if err != nil {
+					return err
+				}
+				return a.printer.Print(response, []string{"NODE", "STATE"}, [][]string{{values[0], response.GetState()}})
+			})
+		},
+	}
+}
+
+func (a *app) undrainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "undrain NODE",
+		Short: "Let a drained target take work again",
+		Args:  args(1),
+		RunE: func(_ *cobra.Command, values []string) error {
+			return a.call(func(ctx context.Context, c *client.Client) error {
+				response, err := c.Mesh.UndrainTarget(ctx, &pb.UndrainTargetRequest{Node: values[0]})
+				if err != nil {
+					return err
+				}
+				return a.printer.Print(response, []string{"NODE", "STATE"}, [][]string{{values[0], response.GetState()}})
+			})
+		},
+	}
+}
+
+func (a *app) dumpCommand() *cobra.Command {
+	var node string
+	cmd := &cobra.Command{
+		Use:   "dump",
+		Short: "Write the state of one daemon process as JSON",
+		Args:  args(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.call(func(ctx context.Context, c *client.Client) error {
+				response, err := c.Mesh.DumpState(ctx, &pb.DumpStateRequest{Node: node})
+				if err != nil {
+					return err
+				}
+				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(response.GetJson()))
+				return err
+			})
+		},
+	}
+	cmd.Flags().StringVar(&node, "node", "", "node to dump, empty for the one that answers")
+	return cmd
+}
