--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -165,9 +165,9 @@
 	}
 	start := time.Now()
 	for _, step := range steps {
-		fmt.Printf("%6.1fs %s\n", time.Since(start).Seconds(), step.Name)
+		fmt.Printf("%6.1fs %s\n", time.Since(start).Seconds(), step.name)
 		if err := step.run(); err != nil {
-			return fmt.Errorf("%s: %w", step.Name, err)
+			return fmt.Errorf("%s: %w", step.name, err)
 		}
 	}
 	return nil
