--- /dev/null
+++ b/server/coordination/seeds/collect.go
@@ -0,0 +1,79 @@
+package seeds
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"wagtailford.example/server/state/config"
+)
+
+// collector gathers seeds from records in the order of the log.
+type collector struct {
+	seeds  []Seen
+	index  map[string]int
+	oldest time.Time
+}
+
+// add takes over the seeds of a record.
+func (c *collector) add(r config.Record) {
+	stored := time.UnixMilli(r.TimeMS)
+	if c.oldest.IsZero() {
+		c.oldest = stored
+	}
+	for _, s := range decode(r.Data) {
+		c.addSeed(Seen{Seed: s, Time: stored})
+	}
+}
+
+// addSeed keeps the newest record of a node. A record with a lower incarnation is an older address that a node with
+// an outdated view published; it only renews the time.
+func (c *collector) addSeed(s Seen) {
+	i, known := c.index[s.Node]
+	if !known {
+		c.index[s.Node] = len(c.seeds)
+		c.seeds = append(c.seeds, s)
+		return
+	}
+	if s.Incarnation < c.seeds[i].Incarnation {
+		s.Seed = c.seeds[i].Seed
+	}
+	c.seeds[i] = s
+}
+
+// result returns the newest seeds.
+func (c *collector) result(complete bool) Result {
+	slices.SortStableFunc(c.seeds, func(a, b Seen) int { return b.Time.Compare(a.Time) })
+	out := Result{Seeds: c.seeds, Complete: complete, Since: c.oldest}
+	if len(c.seeds) > MaxSeeds {
+		out.Seeds = c.seeds[:MaxSeeds]
+		out.Complete = false
+		out.Since = c.seeds[MaxSeeds].Time
+	}
+	return out
+}
+
+// decode returns the seeds of a record; none if it is malformed or too large.
+func decode(data []byte) []Seed {
+	if len(data) > maxRecordBytes {
+		return nil
+	}
+	d := msgpack.NewDecoder(bytes.NewReader(data))
+	n, err := d.DecodeArrayLen()
+	if err != nil || n < 0 || n > MaxPerRecord {
+		return nil
+	}
+	out := make([]Seed, 0, n)
+	for range n {
+		s := Seed{}
+		if err := d.Decode(&s); err != nil {
+			return nil
+		}
+		if s.Node != "" && s.Address != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/server/coordination/seeds/seeds.go
@@ -0,0 +1,115 @@
+// Package seeds publishes addresses of nodes in the log stream seeds, and reads them.
+package seeds
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"wagtailford.example/server/protocol/platformlog"
+)
+
+// Bounds of the stream's records and of one read.
+const (
+	// MaxPerRecord is the largest number of addresses in a record.
+	MaxPerRecord = 64
+	// MaxSeeds is the largest number of addresses that ReadSeeds returns.
+	MaxSeeds = 512
+	// readRecords is the number of newest records that ReadSeeds looks at.
+	readRecords = 256
+	// maxRecordBytes is the largest encoded record.
+	maxRecordBytes = 64 << 10
+	// readBytes limits one read.
+	readBytes = 256 << 10
+	// beyondEnd is an offset above every record: reading it returns the range of the stream only.
+	beyondEnd = 1 << 62
+)
+
+// Log is the log service; *platformlog.Client implements it.
+type Log interface {
+	Append(ctx context.Context, stream string, data []byte) (offset uint64, err error)
+	Read(ctx context.Context, stream string, from uint64, limitBytes int, wait time.Duration) (platformlog.Batch, error)
+}
+
+// Seed is the address of one node.
+type Seed struct {
+	Node string `msgpack:"n"`
+	// Address is the peer address as HOST:PORT.
+	Address       string `msgpack:"a"`
+	FailureDomain string `msgpack:"f"`
+	Incarnation   int64  `msgpack:"i"`
+}
+
+// Seen is a seed with the time at which the log stored its newest record.
+type Seen struct {
+	Seed
+	Time time.Time
+}
+
+// Result is what ReadSeeds found.
+type Result struct {
+	// Seeds are the newest records of each node, newest first.
+	Seeds []Seen
+	// Complete is true if every record that the log keeps was read and no bound dropped a seed. Otherwise only
+	// the records stored after Since are known to be covered.
+	Complete bool
+	Since    time.Time
+}
+
+// Append adds one record with the seeds. The errors are those of platformlog.Client.Append; too many seeds are
+// refused before anything is sent.
+func Append(ctx context.Context, log Log, list []Seed) error {
+	if len(list) > MaxPerRecord {
+		return fmt.Errorf("%d seeds in one record, at most %d", len(list), MaxPerRecord)
+	}
+	var buf bytes.Buffer
+	e := msgpack.NewEncoder(&buf)
+	e.UseCompactInts(true)
+	if err := e.Encode(list); err != nil {
+		return fmt.Errorf("encode seeds: %w", err)
+	}
+	if buf.Len() > maxRecordBytes {
+		return fmt.Errorf("seeds take %d bytes, at most %d", buf.Len(), maxRecordBytes)
+	}
+	_, err := log.Append(ctx, platformlog.StreamSeeds, buf.Bytes())
+	return err
+}
+
+// ReadSeeds returns the seeds in the newest records that the log keeps. Records that cannot be decoded are passed
+// over. The error is that of platformlog.Client.Read.
+func ReadSeeds(ctx context.Context, log Log) (Result, error) {
+	end, err := log.Read(ctx, platformlog.StreamSeeds, beyondEnd, readBytes, 0)
+	if err != nil {
+		return Result{}, err
+	}
+	from := max(end.First, 1)
+	complete := true
+	if end.Next > from+readRecords {
+		from = end.Next - readRecords
+		complete = false
+	}
+	c := collector{index: map[string]int{}}
+	for from < end.Next {
+		batch, err := log.Read(ctx, platformlog.StreamSeeds, from, readBytes, 0)
+		var trimmed *platformlog.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > from {
+			from = trimmed.First
+			continue
+		}
+		if err != nil {
+			return Result{}, err
+		}
+		if len(batch.Records) == 0 {
+			break
+		}
+		for _, r := range batch.Records {
+			c.add(r)
+		}
+		from = batch.Records[len(batch.Records)-1].Offset + 1
+	}
+	return c.result(complete), nil
+}
--- /dev/null
+++ b/server/state/config/codec.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// ErrUndecodable means that data is not a well-formed change or snapshot.
+var ErrUndecodable = errors.New("undecodable data")
+
+// TooLargeError means that an encoded change exceeds Limits.MaxRecordBytes.
+type TooLargeError struct {
+	Bytes, Max int
+}
+
+// Error returns the sizes.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("record of %d bytes exceeds the limit of %d bytes", e.Bytes, e.Max)
+}
+
+// UnknownRuleError means that data was written under rules that this build does not know.
+type UnknownRuleError struct {
+	Rule uint32
+}
+
+// Error returns the rule version.
+func (e *UnknownRuleError) Error() string {
+	return fmt.Sprintf("rule version %d is unknown to this build, which knows version %d", e.Rule, RuleVersion)
+}
+
+// Shape limits of encoded data, checked before it is decoded: the decoder allocates by announced length and
+// skips unknown values recursively.
+const (
+	maxNesting  = 10
+	maxElements = 4096
+)
+
+// EncodeChange returns the record data of a change: the rule version, then the change as a map with sorted
+// label keys. A zero Rule is encoded as RuleVersion. The error is a *TooLargeError if the data exceeds the limit.
+func EncodeChange(c Change) ([]byte, error) {
+	if c.Rule == 0 {
+		c.Rule = RuleVersion
+	}
+	data, err := encode(&c, uint64(c.Rule))
+	if err != nil {
+		return nil, fmt.Errorf("encode change: %w", err)
+	}
+	if len(data) > limits.MaxRecordBytes {
+		return nil, &TooLargeError{Bytes: len(data), Max: limits.MaxRecordBytes}
+	}
+	return data, nil
+}
+
+// DecodeChange reads the data of a record. The error is an *UnknownRuleError, a *TooLargeError or wraps
+// ErrUndecodable.
+func DecodeChange(data []byte) (Change, error) {
+	r := bytes.NewReader(data)
+	rule, err := msgpack.NewDecoder(r).DecodeUint32()
+	if err != nil || rule == 0 {
+		return Change{}, fmt.Errorf("%w: no rule version", ErrUndecodable)
+	}
+	if rule != RuleVersion {
+		return Change{}, &UnknownRuleError{Rule: rule}
+	}
+	if len(data) > limits.MaxRecordBytes {
+		return Change{}, &TooLargeError{Bytes: len(data), Max: limits.MaxRecordBytes}
+	}
+	c := Change{}
+	if err := decode(data[len(data)-r.Len():], &c); err != nil {
+		return Change{}, err
+	}
+	c.Rule = rule
+	return c, nil
+}
+
+// encode writes the header numbers and then the value.
+func encode(v any, header ...uint64) ([]byte, error) {
+	var buf bytes.Buffer
+	e := msgpack.NewEncoder(&buf)
+	e.SetSortMapKeys(true)
+	e.UseCompactInts(true)
+	for _, n := range header {
+		if err := e.EncodeUint(n); err != nil {
+			return nil, err
+		}
+	}
+	if err := e.Encode(v); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// decode reads exactly one value without unknown fields.
+func decode(data []byte, v any) error {
+	if err := checkShape(data); err != nil {
+		return fmt.Errorf("%w: %w", ErrUndecodable, err)
+	}
+	d := msgpack.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields(true)
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("%w: %w", ErrUndecodable, err)
+	}
+	return nil
+}
+
+// checkShape returns an error unless data is exactly one map within the shape limits.
+func checkShape(data []byte) error {
+	if len(data) == 0 || !isMap(data[0]) {
+		return errors.New("not a map")
+	}
+	r := bytes.NewReader(data)
+	if err := checkValue(msgpack.NewDecoder(r), 0); err != nil {
+		return err
+	}
+	if r.Len() > 0 {
+		return fmt.Errorf("%d bytes after the value", r.Len())
+	}
+	return nil
+}
+
+func checkValue(d *msgpack.Decoder, depth int) error {
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	var n int
+	switch {
+	case isMap(code):
+		n, err = d.DecodeMapLen()
+		n *= 2
+	case isArray(code):
+		n, err = d.DecodeArrayLen()
+	default:
+		return d.Skip()
+	}
+	if err != nil {
+		return err
+	}
+	if depth >= maxNesting || n > maxElements {
+		return errors.New("nested too deeply or too many elements")
+	}
+	for range n {
+		if err := checkValue(d, depth+1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func isMap(code byte) bool {
+	return msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32
+}
+
+func isArray(code byte) bool {
+	return msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32
+}
--- a/server/state/config/types.go
+++ b/server/state/config/types.go
@@ -71,8 +71,11 @@
 
 // Change is the decoded form of a record. Exactly the fields of its operation are set.
 type Change struct {
-	Rule     uint32  `msgpack:"rule"`
-	ID       string  `msgpack:"id"`
+	// Rule is encoded in front of the map, so that every build can read it from records of later rules.
+	Rule uint32 `msgpack:"-"`
+	ID   string `msgpack:"id"`
+	// Base is the version that the change is based on. 0 is the empty configuration before the first version
+	// and is checked like any other base: it fits a first publish and a resource that never changed.
 	Base     Version `msgpack:"base"`
 	Operator string  `msgpack:"operator,omitempty"`
 	Op       Op      `msgpack:"op"`
@@ -106,8 +109,27 @@
 	Stale
 	// Blocked means that the record's rule version is unknown to this build. The state does not move past it.
 	Blocked
+	// Ahead means that records before this one are missing; it had no effect and must be delivered again.
+	Ahead
 )
 
+// Kind is the kind of a resource.
+type Kind uint8
+
+// Kinds of resources.
+const (
+	KindService Kind = iota + 1
+	KindRoute
+)
+
+// String returns the kind in words.
+func (k Kind) String() string {
+	if k == KindService {
+		return "service"
+	}
+	return "route"
+}
+
 // RejectReason says in a machine-readable form why a record was rejected.
 type RejectReason string
 
