--- /dev/null
+++ b/server/coordination/ingress/http.go
@@ -0,0 +1,73 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"wagtailford.example/server/coordination/ownership"
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+)
+
+// Register makes a server hand every request to the handler.
+func (h *Handler) Register(s *server.Hertz) {
+	s.Use(h.Serve)
+}
+
+// Serve handles one HTTP request. ctx ends when the caller disconnects.
+func (h *Handler) Serve(ctx context.Context, c *app.RequestContext) {
+	result := h.Do(ctx, readRequest(c))
+	writeResult(c, result)
+	c.Abort()
+}
+
+// readRequest copies the request, because the server reuses its buffers while a worker may still send them.
+func readRequest(c *app.RequestContext) *Request {
+	uri := c.Request.URI()
+	path := string(uri.PathOriginal())
+	if path == "" {
+		path = "/"
+	}
+	if query := uri.QueryString(); len(query) > 0 {
+		path += "?" + string(query)
+	}
+	r := &Request{
+		Method:    string(c.Request.Method()),
+		RoutePath: string(uri.Path()),
+		Path:      path,
+		Body:      bytes.Clone(c.Request.Body()),
+	}
+	c.Request.Header.VisitAll(func(name, value []byte) {
+		r.Headers = append(r.Headers, wire.Header{Name: string(name), Value: string(value)})
+	})
+	return r
+}
+
+// writeResult writes the outcome as section 3.4 of the design maps it to HTTP.
+func writeResult(c *app.RequestContext, r *Result) {
+	header := &c.Response.Header
+	header.SetNoDefaultContentType(true)
+	c.SetStatusCode(outcome.HTTPStatus(r.Outcome, r.Reason, r.Status))
+	if r.Outcome == outcome.Answered {
+		for _, field := range forwarded(r.Headers, responseDropped) {
+			header.Add(field.Name, field.Value)
+		}
+		c.Response.SetBodyRaw(r.Body)
+		header.Set(outcome.HeaderOutcome, r.Outcome.String())
+		return
+	}
+	header.Set(outcome.HeaderOutcome, r.Outcome.String())
+	header.Set(outcome.HeaderReason, string(r.Reason))
+	if r.Outcome == outcome.Unknown && r.Key != "" {
+		header.Set(ownership.HeaderKey, r.Key)
+	}
+	if outcome.MayPass(r.Outcome, r.Reason) {
+		header.Set("Retry-After", strconv.Itoa(outcome.RetryAfterSeconds))
+	}
+	header.SetContentType("text/plain; charset=utf-8")
+	c.Response.SetBodyString(r.Outcome.String() + ": " + string(r.Reason) + "\n")
+}
--- /dev/null
+++ b/server/coordination/routing/match.go
@@ -0,0 +1,102 @@
+// Package routing matches routes and selects targets from one view and this node's own observations.
+package routing
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"wagtailford.example/server/state/config"
+)
+
+// compiledMax limits the contents whose compiled form is kept. A process has one content in force and, for
+// a moment during a change, the previous one.
+const compiledMax = 4
+
+// matcher is the compiled form of a content.
+type matcher struct {
+	content *config.Content
+	// callers maps a caller identity to its routes by path prefix without a trailing slash.
+	callers map[string]map[string]*config.Route
+}
+
+// compiled holds the matchers used last, newest first. The slice is replaced as a whole.
+var compiled atomic.Pointer[[]*matcher]
+
+// Match returns the route for a request path without query: the caller's own routes come before those of
+// config.AnyCaller, then the longest prefix that ends at a segment boundary wins.
+func Match(content *config.Content, caller, path string) (*config.Route, bool) {
+	if content == nil {
+		return nil, false
+	}
+	m := matcherFor(content)
+	if route := longestPrefix(m.callers[caller], path); route != nil {
+		return route, true
+	}
+	route := longestPrefix(m.callers[config.AnyCaller], path)
+	return route, route != nil
+}
+
+func matcherFor(content *config.Content) *matcher {
+	old := compiled.Load()
+	if old != nil {
+		for _, m := range *old {
+			if m.content == content {
+				return m
+			}
+		}
+	}
+	m := compile(content)
+	next := []*matcher{m}
+	if old != nil {
+		next = append(next, (*old)[:min(len(*old), compiledMax-1)]...)
+	}
+	// A lost race only means that the content is compiled once more.
+	compiled.CompareAndSwap(old, &next)
+	return m
+}
+
+func compile(content *config.Content) *matcher {
+	m := &matcher{content: content, callers: make(map[string]map[string]*config.Route)}
+	for i := range content.Routes {
+		route := &content.Routes[i]
+		prefixes := m.callers[route.Caller]
+		if prefixes == nil {
+			prefixes = make(map[string]*config.Route)
+			m.callers[route.Caller] = prefixes
+		}
+		prefixes[strings.TrimSuffix(route.PathPrefix, "/")] = route
+	}
+	return m
+}
+
+func longestPrefix(prefixes map[string]*config.Route, path string) *config.Route {
+	if len(prefixes) == 0 {
+		return nil
+	}
+	for {
+		if route, ok := prefixes[path]; ok {
+			return route
+		}
+		cut := strings.LastIndexByte(path, '/')
+		if cut < 0 {
+			return nil
+		}
+		path = path[:cut]
+	}
+}
+
+// idempotentMethods are idempotent by their definition in HTTP.
+var idempotentMethods = map[string]bool{"GET": true, "HEAD": true, "OPTIONS": true, "PUT": true, "DELETE": true}
+
+// Idempotent reports whether a method may run more than once, by its definition or by the route's setting.
+func Idempotent(route *config.Route, method string) bool {
+	if idempotentMethods[method] {
+		return true
+	}
+	for _, m := range route.IdempotentMethods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/server/coordination/routing/tracker.go
@@ -0,0 +1,175 @@
+package routing
+
+import (
+	"sync"
+
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Tracker keeps this node's own observations of other nodes. It is safe for concurrent use.
+type Tracker struct {
+	settings Settings
+
+	mu      sync.Mutex
+	nodes   map[string]*Stat
+	dropped uint64
+}
+
+// NewTracker returns a tracker without observations.
+func NewTracker(settings Settings) *Tracker {
+	return &Tracker{settings: settings, nodes: make(map[string]*Stat)}
+}
+
+// Stat returns the observations of a node.
+func (t *Tracker) Stat(node string) Stat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.nodes[node]; s != nil {
+		return *s
+	}
+	return Stat{}
+}
+
+// Attempt is one request that a Tracker counts as outstanding.
+type Attempt struct {
+	stat  *Stat
+	probe bool
+}
+
+// Begin counts a request to a node as outstanding. The attempt must be passed to End. Beyond the limit of
+// tracked nodes the request is not counted.
+func (t *Tracker) Begin(node string, nowMS int64) Attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.nodes[node]
+	if s == nil {
+		if len(t.nodes) >= t.settings.TrackedMax {
+			t.dropped++
+			return Attempt{}
+		}
+		s = &Stat{}
+		t.nodes[node] = s
+	}
+	s.Outstanding++
+	probe := s.EjectedUntilMS != 0 && nowMS >= s.EjectedUntilMS && !s.Probing
+	if probe {
+		s.Probing = true
+	}
+	return Attempt{stat: s, probe: probe}
+}
+
+// Result is the end of an attempt as the selection sees it.
+type Result uint8
+
+// Results of an attempt.
+const (
+	// Neutral says nothing about the target: the caller left, or the request itself was at fault.
+	Neutral Result = iota
+	// Succeeded means that the target served the request or shed it in an orderly way.
+	Succeeded
+	// Failed counts towards ejection.
+	Failed
+)
+
+// End ends an attempt. inUse and queued are the reported slots in use and queue length; inUse below 0 means that
+// nothing was reported.
+func (t *Tracker) End(a Attempt, result Result, inUse, queued int, nowMS int64) {
+	if a.stat == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := Observe(*a.stat, result, a.probe, nowMS, t.settings)
+	if inUse >= 0 {
+		next.InUse = inUse
+		next.Queued = queued
+		next.ReportedMS = nowMS
+	}
+	*a.stat = next
+}
+
+// Observe returns the observations after an attempt ended. EjectFailures consecutive failures eject; a failed
+// probe ejects again, a successful one ends the ejection.
+func Observe(s Stat, result Result, probe bool, nowMS int64, settings Settings) Stat {
+	s.Outstanding--
+	if probe {
+		s.Probing = false
+	}
+	switch result {
+	case Succeeded:
+		s.Failures = 0
+		s.EjectedUntilMS = 0
+	case Failed:
+		s.Failures++
+		if s.Failures >= settings.EjectFailures {
+			s.EjectedUntilMS = nowMS + settings.EjectTime.Milliseconds()
+		}
+	}
+	return s
+}
+
+// ResultOf classifies the outcome of an attempt. status is the HTTP status of an answer. Statuses from 500 count as
+// failures, because a target with lying health answers them at once and would attract requests.
+func ResultOf(o outcome.Outcome, reason outcome.Reason, status int) Result {
+	switch o {
+	case outcome.Answered:
+		if status >= 500 {
+			return Failed
+		}
+		return Succeeded
+	case outcome.RefusedNotRun:
+		return refusalResult(reason)
+	default:
+		if reason == outcome.ReasonCanceled || reason == outcome.ReasonOwnerDied || reason == outcome.ReasonKeyExpired {
+			return Neutral
+		}
+		return Failed
+	}
+}
+
+func refusalResult(reason outcome.Reason) Result {
+	switch reason {
+	case outcome.ReasonConnectFailed, outcome.ReasonTargetDown, outcome.ReasonNotReady, outcome.ReasonNotEligible,
+		outcome.ReasonSelfFenced, outcome.ReasonShutdown, outcome.ReasonDraining:
+		return Failed
+	case outcome.ReasonQueueFull, outcome.ReasonOverloaded:
+		return Succeeded
+	default:
+		return Neutral
+	}
+}
+
+// Retain removes the observations of nodes that are not in the view.
+func (t *Tracker) Retain(nodes map[string]*endpoint.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for node := range t.nodes {
+		if _, ok := nodes[node]; !ok {
+			delete(t.nodes, node)
+		}
+	}
+}
+
+// Summary counts what a tracker holds.
+type Summary struct {
+	Nodes       int
+	Outstanding int
+	Ejected     int
+	// Untracked counts requests that were not counted because the tracker was full.
+	Untracked uint64
+}
+
+// Summary returns the counts at nowMS.
+func (t *Tracker) Summary(nowMS int64) Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := Summary{Nodes: len(t.nodes), Untracked: t.dropped}
+	for _, s := range t.nodes {
+		sum.Outstanding += s.Outstanding
+		if s.EjectedUntilMS > nowMS {
+			sum.Ejected++
+		}
+	}
+	return sum
+}
