--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,5 @@
 demo: build
 	$(BIN)/demo --bin $(BIN)
 
-bench:
-	go test -run '^$$' -bench . -benchtime 1x ./server/... ./standin/...
+bench: build
+	WAGTAILFORD_BIN=$(BIN) go test -run '^$$' -bench . -benchtime 1x -timeout 60m ./server/... ./standin/...
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -192,17 +192,10 @@
 	}
 	var newest []uint64
 	for _, p := range m.Plans {
-		_, body, err := m.HTTP.Get(p.URL(fleet.AdminPort) + "/convergence")
+		installs, err := m.Installs(p)
 		if err != nil {
 			return c, err
 		}
-		var installs []struct {
-			Version uint64 `json:"version"`
-			LagMS   int64  `json:"lag_ms"`
-		}
-		if err := json.Unmarshal(body, &installs); err != nil {
-			return c, fmt.Errorf("convergence of %s: %w: %s", p.Name, err, body)
-		}
 		c.byNode[p.Name] = make(map[uint64]int64)
 		var last uint64
 		for _, i := range installs {
@@ -226,13 +219,5 @@
 			all = append(all, lag)
 		}
 	}
-	return percentile(all, 0.99)
-}
-
-func percentile(values []int64, p float64) int64 {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[min(len(values)-1, int(p*float64(len(values))))]
+	return fleet.Percentile(all, 0.99)
 }
--- a/standin/demo/verify.go
+++ b/standin/demo/verify.go
@@ -106,7 +106,7 @@
 	fmt.Fprintf(w, "unknown\t%d\n", t.unknown)
 	fmt.Fprintf(w, "wrong or cut answers\t%d\n", t.wrong)
 	fmt.Fprintf(w, "latency p50, p99\t%v, %v\n",
-		time.Duration(percentile(t.latencies, 0.5))*time.Microsecond, time.Duration(percentile(t.latencies, 0.99))*time.Microsecond)
+		time.Duration(fleet.Percentile(t.latencies, 0.5))*time.Microsecond, time.Duration(fleet.Percentile(t.latencies, 0.99))*time.Microsecond)
 	w.Flush()
 	for _, example := range t.examples {
 		fmt.Println("BROKEN:", example)
