--- /dev/null
+++ b/server/coordination/admission/admission.go
@@ -0,0 +1,274 @@
+// Package admission decides which request may run at the target beside the node: slots shared by all senders, a
+// short queue in order of arrival, slow start of a cold target, and exclusive runs of suspects.
+//
+// State holds the pure decisions; Gate makes them available to concurrent requests.
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"wagtailford.example/server/protocol/outcome"
+)
+
+// Settings are the rules of admission.
+type Settings struct {
+	// Slots is the number of requests that run at a time, unless the target announced another number.
+	Slots int
+	// Queue is the number of requests that may wait for a slot.
+	Queue int
+	// ExclusiveQueue is the number of suspects that may wait to run alone.
+	ExclusiveQueue int
+	// SlowStart is the age at which a target gets all its slots; 0 gives them at once.
+	SlowStart time.Duration
+	// ExclusiveWait limits how long slots stay empty while a suspect waits for the running requests to end.
+	ExclusiveWait time.Duration
+}
+
+// slowStartMinimum is the number of slots of a target that has just started. With one slot, a single long request
+// would hide the target for its whole duration.
+const slowStartMinimum = 2
+
+// serviceTimeWeight is the share of a new observation in the moving mean of the service time. An eighth follows a
+// change of load within some tens of requests and ignores a single slow one.
+const serviceTimeWeight = 0.125
+
+// Verdict is the decision on an arriving request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Refused Verdict = iota
+	Granted
+	Queued
+)
+
+// Action settles a queued request: it is granted if the reason is empty and refused otherwise.
+type Action struct {
+	ID     uint64
+	Reason outcome.Reason
+}
+
+// waiter is a queued request.
+type waiter struct {
+	id       uint64
+	deadline time.Time
+}
+
+// State is the state of admission at one target. It is changed by one caller at a time.
+type State struct {
+	settings Settings
+	slots    int
+	started  time.Time
+	// normal and exclusive are in order of arrival.
+	normal    []waiter
+	exclusive []waiter
+	inUse     int
+	// alone is true while a suspect runs.
+	alone bool
+	// turn is the number of normal requests that start before the next suspect may stop the others.
+	turn int
+	// blockedSince is the time since which slots stay empty for the first waiting suspect; zero if they don't.
+	blockedSince time.Time
+	serviceTime  time.Duration
+	actions      []Action
+}
+
+// New returns a state without requests, for a target that is not cold.
+func New(s Settings) *State {
+	return &State{settings: s, slots: s.Slots}
+}
+
+// SetTarget sets the slots and the start time of the target. The returned actions are valid until the next call, as
+// for all methods.
+func (s *State) SetTarget(now time.Time, slots int, started time.Time) []Action {
+	if slots <= 0 {
+		slots = s.settings.Slots
+	}
+	s.slots = slots
+	s.started = started
+	return s.settle(now)
+}
+
+// Slots returns the number of slots at the age that the target has.
+func (s *State) Slots(now time.Time) int {
+	age := now.Sub(s.started)
+	if s.started.IsZero() || s.settings.SlowStart <= 0 || age >= s.settings.SlowStart {
+		return s.slots
+	}
+	share := float64(max(age, 0)) / float64(s.settings.SlowStart)
+	return min(s.slots, max(slowStartMinimum, int(share*float64(s.slots))))
+}
+
+// InUse returns the number of requests that run.
+func (s *State) InUse() int { return s.inUse }
+
+// Queued returns the number of requests that wait.
+func (s *State) Queued() int { return len(s.normal) + len(s.exclusive) }
+
+// ServiceTime returns the moving mean of the time for which requests held a slot; 0 before the first one ended.
+func (s *State) ServiceTime() time.Duration { return s.serviceTime }
+
+// Arrive decides on a request. A queued one is settled by an action of a later call. The reason is set if the request
+// is refused.
+func (s *State) Arrive(now time.Time, id uint64, deadline time.Time, exclusive bool) (Verdict, outcome.Reason) {
+	if !now.Before(deadline) {
+		return Refused, outcome.ReasonDeadline
+	}
+	if exclusive {
+		return s.arriveExclusive(now, id, deadline)
+	}
+	if len(s.normal) == 0 && !s.closed() && s.inUse < s.Slots(now) {
+		s.inUse++
+		return Granted, outcome.ReasonNone
+	}
+	if len(s.normal) >= s.settings.Queue {
+		return Refused, outcome.ReasonQueueFull
+	}
+	if now.Add(s.wait(now, len(s.normal))).After(deadline) {
+		return Refused, outcome.ReasonDeadline
+	}
+	s.normal = append(s.normal, waiter{id: id, deadline: deadline})
+	return Queued, outcome.ReasonNone
+}
+
+func (s *State) arriveExclusive(now time.Time, id uint64, deadline time.Time) (Verdict, outcome.Reason) {
+	if s.inUse == 0 && s.Queued() == 0 {
+		s.startAlone()
+		return Granted, outcome.ReasonNone
+	}
+	if len(s.exclusive) >= s.settings.ExclusiveQueue {
+		return Refused, outcome.ReasonQueueFull
+	}
+	s.exclusive = append(s.exclusive, waiter{id: id, deadline: deadline})
+	s.block(now)
+	return Queued, outcome.ReasonNone
+}
+
+// wait estimates the time until a request with the given number of waiting requests before it starts: one request
+// ends every serviceTime/slots.
+func (s *State) wait(now time.Time, before int) time.Duration {
+	return s.serviceTime * time.Duration(before+1) / time.Duration(s.Slots(now))
+}
+
+// closed reports whether slots stay empty for a suspect.
+func (s *State) closed() bool { return s.alone || !s.blockedSince.IsZero() }
+
+// block stops new starts when a suspect waits and the others had their turn.
+func (s *State) block(now time.Time) {
+	if len(s.exclusive) > 0 && s.turn == 0 && !s.closed() {
+		s.blockedSince = now
+	}
+}
+
+func (s *State) startAlone() {
+	s.inUse++
+	s.alone = true
+	s.blockedSince = time.Time{}
+}
+
+// giveTurn lets the requests that wait now start before the next suspect may stop the others.
+func (s *State) giveTurn() {
+	s.turn = len(s.normal)
+}
+
+// Finish ends a request that was granted at started.
+func (s *State) Finish(now, started time.Time) []Action {
+	s.observe(now.Sub(started))
+	s.inUse--
+	if s.alone {
+		s.alone = false
+		s.giveTurn()
+	}
+	return s.settle(now)
+}
+
+func (s *State) observe(d time.Duration) {
+	if s.serviceTime == 0 {
+		s.serviceTime = d
+		return
+	}
+	s.serviceTime += time.Duration(serviceTimeWeight * float64(d-s.serviceTime))
+}
+
+// Abandon removes a queued request that is no longer wanted. It is no error if the request is not queued.
+func (s *State) Abandon(now time.Time, id uint64) []Action {
+	same := func(w waiter) bool { return w.id == id }
+	s.normal = slices.DeleteFunc(s.normal, same)
+	if i := slices.IndexFunc(s.exclusive, same); i >= 0 {
+		s.exclusive = slices.Delete(s.exclusive, i, i+1)
+		s.unblock()
+	}
+	return s.settle(now)
+}
+
+// unblock ends the block if no suspect waits for it.
+func (s *State) unblock() {
+	if len(s.exclusive) == 0 {
+		s.blockedSince = time.Time{}
+	}
+}
+
+// ExclusiveDue returns the time at which Expire has to be called, and false if slots don't stay empty for a suspect.
+func (s *State) ExclusiveDue() (time.Time, bool) {
+	return s.blockedSince.Add(s.settings.ExclusiveWait), !s.blockedSince.IsZero()
+}
+
+// Expire refuses the suspect for which slots stayed empty too long, so that the others run.
+func (s *State) Expire(now time.Time) []Action {
+	return s.settle(now)
+}
+
+// settle refuses what is late and grants what fits, until nothing more can start.
+func (s *State) settle(now time.Time) []Action {
+	s.actions = s.actions[:0]
+	s.normal = s.dropLate(now, s.normal)
+	s.exclusive = s.dropLate(now, s.exclusive)
+	s.turn = min(s.turn, len(s.normal))
+	s.unblock()
+	s.refuseOverdue(now)
+	s.grantNormal(now)
+	s.block(now)
+	s.grantExclusive()
+	return s.actions
+}
+
+func (s *State) dropLate(now time.Time, queue []waiter) []waiter {
+	return slices.DeleteFunc(queue, func(w waiter) bool {
+		late := !now.Before(w.deadline)
+		if late {
+			s.actions = append(s.actions, Action{ID: w.id, Reason: outcome.ReasonDeadline})
+		}
+		return late
+	})
+}
+
+func (s *State) refuseOverdue(now time.Time) {
+	due, blocked := s.ExclusiveDue()
+	if !blocked || now.Before(due) || s.inUse == 0 {
+		return
+	}
+	s.actions = append(s.actions, Action{ID: s.exclusive[0].id, Reason: outcome.ReasonOverloaded})
+	s.exclusive = slices.Delete(s.exclusive, 0, 1)
+	s.blockedSince = time.Time{}
+	s.giveTurn()
+}
+
+func (s *State) grantNormal(now time.Time) {
+	for len(s.normal) > 0 && !s.closed() && s.inUse < s.Slots(now) {
+		s.actions = append(s.actions, Action{ID: s.normal[0].id})
+		s.normal = slices.Delete(s.normal, 0, 1)
+		s.inUse++
+		s.turn = max(s.turn-1, 0)
+		s.block(now)
+	}
+}
+
+func (s *State) grantExclusive() {
+	if s.blockedSince.IsZero() || s.inUse > 0 {
+		return
+	}
+	s.actions = append(s.actions, Action{ID: s.exclusive[0].id})
+	s.exclusive = slices.Delete(s.exclusive, 0, 1)
+	s.startAlone()
+}
--- /dev/null
+++ b/server/coordination/announce/announcer.go
@@ -0,0 +1,333 @@
+package announce
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
+
+	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/transport/httpclient"
+)
+
+// Settings are the settings of an Announcer.
+type Settings struct {
+	// Lease is the time within which a target has to renew its announcement.
+	Lease time.Duration
+	// DrainAnnounce is the time for the draining state to spread before new work is refused.
+	DrainAnnounce time.Duration
+	// HealthInterval is the time between two polls of the health and load endpoints; 0 turns them off.
+	HealthInterval time.Duration
+	// ConnectInterval is the time between two attempts to connect to a starting target.
+	ConnectInterval time.Duration
+	// RetryMax limits the wait between two attempts to join or leave.
+	RetryMax time.Duration
+	// Slots is the number of slots of a target that announces none.
+	Slots int
+}
+
+// Runner runs requests at the target. *execute.Executor implements it.
+type Runner interface {
+	SetTarget(execute.Target)
+	WaitIdle(context.Context) error
+	// Results returns how many requests the target answered and how many were lost.
+	Results() (answered, lost int64)
+}
+
+// Dependencies are what an Announcer uses of the other packages.
+type Dependencies struct {
+	Runner Runner
+	// UpdateSelf changes the entry of this node.
+	UpdateSelf func(func(*endpoint.Entry))
+	// Join makes the node an owner of keys; it is repeated until it succeeds.
+	Join func(context.Context) error
+	// Leave hands the key records over; it is repeated until it succeeds.
+	Leave func(context.Context) error
+	Log   log.Interface
+}
+
+// ErrShutdown means that the node shuts down and takes no target.
+var ErrShutdown = errors.New("the node shuts down")
+
+// ServiceChangeError means that a target announced another service without leaving first.
+type ServiceChangeError struct{ Current, Announced string }
+
+// Error names both services.
+func (e *ServiceChangeError) Error() string {
+	return fmt.Sprintf("the target of service %q has to leave before one of service %q is announced", e.Current, e.Announced)
+}
+
+// Counters count the events in the life of the target.
+type Counters struct {
+	Announcements atomic.Int64
+	Expired       atomic.Int64
+	Crashes       atomic.Int64
+	Drains        atomic.Int64
+	HealthFailed  atomic.Int64
+}
+
+// Announcer follows the target beside the node.
+type Announcer struct {
+	Counters Counters
+
+	settings Settings
+	deps     Dependencies
+	client   *httpclient.Client
+	// current is the state that UpdateSelf publishes.
+	current atomic.Pointer[Lifecycle]
+	hints   atomic.Pointer[Hints]
+	stopped context.Context
+	stop    context.CancelFunc
+	work    sync.WaitGroup
+
+	mu    sync.Mutex
+	life  Lifecycle
+	lease *time.Timer
+	// drained is closed when the drain in progress has ended; nil if there is none.
+	drained chan struct{}
+	// leaveStarting ends the wait for a starting target, leaveJoin ends and awaits the join.
+	leaveStarting context.CancelFunc
+	leaveJoin     func()
+}
+
+// New returns an announcer without a target.
+func New(s Settings, d Dependencies) (*Announcer, error) {
+	client, err := httpclient.New(httpclient.Limits{
+		DialTimeout:        pollTimeout,
+		ConnectionsPerHost: 2,
+		HeaderMaxBytes:     pollMaxBytes,
+		BodyMaxBytes:       pollMaxBytes,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("set up announcer: %w", err)
+	}
+	a := &Announcer{settings: s, deps: d, client: client}
+	a.stopped, a.stop = context.WithCancel(context.Background())
+	a.current.Store(&Lifecycle{})
+	a.hints.Store(&Hints{})
+	if s.HealthInterval > 0 {
+		a.work.Go(a.poll)
+	}
+	return a, nil
+}
+
+// Close ends the goroutines of the announcer.
+func (a *Announcer) Close() {
+	a.mu.Lock()
+	a.stop()
+	if a.lease != nil {
+		a.lease.Stop()
+	}
+	a.mu.Unlock()
+	a.work.Wait()
+}
+
+// Lifecycle returns the state of the target.
+func (a *Announcer) Lifecycle() Lifecycle { return *a.current.Load() }
+
+// Announce takes an announcement or its renewal. It returns the phase, ErrShutdown or a *ServiceChangeError.
+func (a *Announcer) Announce(an Announcement) (Phase, error) {
+	if an.Slots == 0 {
+		an.Slots = a.settings.Slots
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life.Stopping {
+		return a.life.Phase, ErrShutdown
+	}
+	if a.life.Phase != Unannounced && a.life.Announcement.Service != "" && a.life.Announcement.Service != an.Service {
+		return a.life.Phase, &ServiceChangeError{Current: a.life.Announcement.Service, Announced: an.Service}
+	}
+	a.Counters.Announcements.Add(1)
+	a.step(Event{Kind: EventAnnounced, Announcement: an})
+	a.armLease()
+	return a.life.Phase, nil
+}
+
+// armLease sets the timer that ends the announcement.
+func (a *Announcer) armLease() {
+	if a.lease != nil {
+		a.lease.Stop()
+	}
+	a.lease = time.AfterFunc(time.Until(a.life.LeaseUntil), func() { a.event(EventTick) })
+}
+
+// TargetCrashed marks the target as down until it announces itself again.
+func (a *Announcer) TargetCrashed() { a.event(EventCrashed) }
+
+func (a *Announcer) event(kind EventKind) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.step(Event{Kind: kind})
+}
+
+// step applies an event and starts what follows from it. The lock is held.
+func (a *Announcer) step(e Event) {
+	if a.stopped.Err() != nil {
+		return
+	}
+	e.At = time.Now()
+	before := a.life
+	next, effects := before.Step(e, a.settings.Lease)
+	a.life = next
+	a.current.Store(&next)
+	if before.Phase != next.Phase {
+		a.report(e.Kind, before.Phase, next)
+	}
+	a.deps.Runner.SetTarget(a.runnable(next))
+	if next.Phase != Starting && a.leaveStarting != nil {
+		a.leaveStarting()
+		a.leaveStarting = nil
+	}
+	if effects&EffectPublish != 0 {
+		// The publication is its own goroutine's order of business: it publishes the latest state.
+		a.work.Go(a.publish)
+	}
+	if effects&EffectConnect != 0 {
+		a.startConnect(next.Announcement.Address)
+	}
+	if effects&EffectJoin != 0 {
+		a.startJoin()
+	}
+	if effects&EffectDrain != 0 {
+		a.startDrain()
+	}
+}
+
+// report logs a change of phase and counts it.
+func (a *Announcer) report(cause EventKind, from Phase, to Lifecycle) {
+	a.deps.Log.WithFields(log.Fields{
+		"from":    from.String(),
+		"to":      to.Phase.String(),
+		"service": to.Announcement.Service,
+		"address": to.Announcement.Address,
+	}).Info("target changed its phase")
+	switch {
+	case to.Phase == Draining:
+		a.Counters.Drains.Add(1)
+	case cause == EventTick:
+		a.Counters.Expired.Add(1)
+	case cause == EventCrashed:
+		a.Counters.Crashes.Add(1)
+	}
+}
+
+// runnable returns the target as the runner of requests sees it.
+func (a *Announcer) runnable(l Lifecycle) execute.Target {
+	return execute.Target{
+		Service: l.Announcement.Service,
+		Address: l.Announcement.Address,
+		Slots:   l.Announcement.Slots,
+		Started: l.Started,
+		Start:   l.Announcement.Start,
+		Refuse:  l.Refuse(),
+	}
+}
+
+// publish writes the target into the entry of the node.
+func (a *Announcer) publish() {
+	a.deps.UpdateSelf(func(e *endpoint.Entry) { fillEntry(e, a.Lifecycle()) })
+}
+
+// fillEntry sets the fields of the entry that describe the target. A node without a target keeps no service, so it is
+// no member of any.
+func fillEntry(e *endpoint.Entry, l Lifecycle) {
+	e.State = l.State()
+	if e.State == endpoint.NoTarget {
+		e.Service = ""
+		e.TargetAddress = ""
+		e.Labels = nil
+		e.Slots = 0
+		e.StartedMS = 0
+		return
+	}
+	e.Service = l.Announcement.Service
+	e.TargetAddress = l.Announcement.Address
+	e.Labels = l.Announcement.Labels
+	e.Slots = l.Announcement.Slots
+	e.StartedMS = 0
+	if !l.Started.IsZero() {
+		e.StartedMS = l.Started.UnixMilli()
+	}
+}
+
+// startConnect waits in the background until the target accepts connections.
+func (a *Announcer) startConnect(address string) {
+	ctx, cancel := context.WithCancel(a.stopped)
+	a.leaveStarting = cancel
+	a.work.Go(func() {
+		dialer := net.Dialer{Timeout: pollTimeout}
+		for {
+			conn, err := dialer.DialContext(ctx, "tcp", address)
+			if err == nil {
+				conn.Close()
+				a.connected(ctx)
+				return
+			}
+			if !sleep(ctx, a.settings.ConnectInterval) {
+				return
+			}
+		}
+	})
+}
+
+// connected reports a connection unless the wait for it was given up.
+func (a *Announcer) connected(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ctx.Err() == nil {
+		a.step(Event{Kind: EventConnected})
+	}
+}
+
+// startJoin joins in the background.
+func (a *Announcer) startJoin() {
+	ctx, cancel := context.WithCancel(a.stopped)
+	done := make(chan struct{})
+	a.leaveJoin = func() {
+		cancel()
+		<-done
+	}
+	a.work.Go(func() {
+		defer close(done)
+		a.retry(ctx, "join", a.deps.Join)
+	})
+}
+
+// retry repeats an operation with growing waits until it succeeds or ctx ends.
+func (a *Announcer) retry(ctx context.Context, name string, op func(context.Context) error) error {
+	waits := backoff.NewExponentialBackOff()
+	waits.MaxInterval = a.settings.RetryMax
+	for {
+		err := op(ctx)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		a.deps.Log.WithError(err).WithField("operation", name).Warn("operation failed; it is repeated")
+		if !sleep(ctx, waits.NextBackOff()) {
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits and reports whether the wait was not cut short.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/server/coordination/execute/executor.go
@@ -0,0 +1,325 @@
+// Package execute runs requests at the target beside the node and says what became of them.
+package execute
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/panjf2000/ants/v2"
+
+	"wagtailford.example/server/coordination/admission"
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/suspect"
+	"wagtailford.example/server/state/view"
+	"wagtailford.example/server/transport/httpclient"
+)
+
+// Settings are the settings of an Executor.
+type Settings struct {
+	// Node is the name of this node.
+	Node string
+	// Workers is the capacity of the pool that runs requests.
+	Workers   int
+	Admission admission.Settings
+	Suspects  suspect.Limits
+	// Client limits the connections to the target. Its IdleTimeout has to be below the idle timeout of the target.
+	Client httpclient.Limits
+}
+
+// Keys decides on requests that have an idempotency key. Begin is called when the request holds a slot. If run is
+// true, the request is run and finish is called once with its result; otherwise answer is the result. The manager
+// must not change a response that it was given or has returned.
+type Keys interface {
+	Begin(ctx context.Context, r *wire.Request) (run bool, finish func(*wire.Response), answer *wire.Response)
+}
+
+// Dependencies are what an Executor uses of the other packages.
+type Dependencies struct {
+	// View returns the view in force, or nil before the first.
+	View func() *view.View
+	Keys Keys
+	// UpdateSelf changes the entry of this node.
+	UpdateSelf func(func(*endpoint.Entry))
+	// Crashed is called when the target was found to have crashed; it may be nil.
+	Crashed func()
+	Log     log.Interface
+}
+
+// Target is the target beside the node.
+type Target struct {
+	Service string
+	// Address is host:port; empty if no target has announced itself.
+	Address string
+	// Slots is the number of requests that the target takes at a time; 0 means the default.
+	Slots int
+	// Started is the time from which slow start counts.
+	Started time.Time
+	// Start identifies one start of the target's process; another value means that it started again.
+	Start string
+	// Refuse is the reason for which new requests are refused; empty if the target takes work.
+	Refuse outcome.Reason
+}
+
+// Counters count what became of the requests.
+type Counters struct {
+	// Admitted are requests that got a slot.
+	Admitted        atomic.Int64
+	Answered        atomic.Int64
+	Unknown         atomic.Int64
+	Refused         ReasonCounts
+	Cancelled       atomic.Int64
+	Crashes         atomic.Int64
+	SuspectsBlocked atomic.Int64
+}
+
+// Executor runs requests at the target.
+type Executor struct {
+	Counters Counters
+	// Gate holds the slots; its InUse and Queued are gauges.
+	Gate *admission.Gate
+
+	settings Settings
+	deps     Dependencies
+	client   *httpclient.Client
+	pool     *ants.Pool
+	crashes  *crashes
+	others   atomic.Pointer[othersIndex]
+	attempts attempts
+
+	mu     sync.Mutex
+	target Target
+	active int
+	// idle is closed when no request is in progress; nil if nobody waits for that.
+	idle chan struct{}
+}
+
+// othersIndex is the index of the crash counts in one view.
+type othersIndex struct {
+	view  *view.View
+	index *suspect.Index
+}
+
+// New returns an executor without a target.
+func New(s Settings, d Dependencies) (*Executor, error) {
+	client, err := httpclient.New(s.Client)
+	if err != nil {
+		return nil, fmt.Errorf("set up executor: %w", err)
+	}
+	pool, err := ants.NewPool(s.Workers, ants.WithNonblocking(true), ants.WithPanicHandler(func(p any) { panic(p) }))
+	if err != nil {
+		return nil, fmt.Errorf("set up executor with %d workers: %w", s.Workers, err)
+	}
+	e := &Executor{
+		Gate:     admission.NewGate(s.Admission),
+		settings: s,
+		deps:     d,
+		client:   client,
+		pool:     pool,
+		target:   Target{Refuse: outcome.ReasonNoTarget},
+	}
+	e.crashes = newCrashes(s.Suspects, s.Client.DialTimeout, e.publishCrashes)
+	return e, nil
+}
+
+// Close releases the workers and the idle connections. No request may be in progress.
+func (e *Executor) Close() {
+	e.pool.Release()
+	e.client.CloseIdle()
+}
+
+// SetTarget replaces the target. Requests in progress are not affected, except that another start of the target
+// makes those that it interrupted suspects.
+func (e *Executor) SetTarget(t Target) {
+	e.mu.Lock()
+	previous := e.target
+	e.target = t
+	e.mu.Unlock()
+	if previous.Slots != t.Slots || !previous.Started.Equal(t.Started) {
+		e.Gate.SetTarget(t.Slots, t.Started)
+	}
+	if previous.Start == t.Start || previous.Address == "" {
+		return
+	}
+	if e.crashes.restarted() {
+		e.Counters.Crashes.Add(1)
+	}
+}
+
+// Target returns the target.
+func (e *Executor) Target() Target {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.target
+}
+
+// WaitIdle waits until no request is in progress.
+func (e *Executor) WaitIdle(ctx context.Context) error {
+	for {
+		idle := e.idleSignal()
+		if idle == nil {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Executor) idleSignal() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.active == 0 {
+		return nil
+	}
+	if e.idle == nil {
+		e.idle = make(chan struct{})
+	}
+	return e.idle
+}
+
+// enter counts a request as in progress, or returns the reason of a refusal. Both happen under one lock, so no
+// request starts after SetTarget refused new ones and WaitIdle returned.
+func (e *Executor) enter(r *wire.Request) outcome.Reason {
+	v := e.deps.View()
+	if v == nil || !v.Ready {
+		return outcome.ReasonNotReady
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.target.Refuse != outcome.ReasonNone {
+		return e.target.Refuse
+	}
+	if e.target.Service != r.Service {
+		return outcome.ReasonNoTarget
+	}
+	e.active++
+	return outcome.ReasonNone
+}
+
+func (e *Executor) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	if e.active == 0 && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
+}
+
+// Execute runs a request and returns its result. It waits at most for the time that remains for the request.
+func (e *Executor) Execute(ctx context.Context, r *wire.Request) *wire.Response {
+	reason := check(r)
+	if reason == outcome.ReasonNone {
+		reason = e.enter(r)
+	}
+	if reason != outcome.ReasonNone {
+		return e.count(refused(reason))
+	}
+	defer e.leave()
+	deadline := time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	defer e.attempts.add(r.From, r.ID, cancel)()
+	return e.count(e.admit(ctx, r, deadline))
+}
+
+// count counts a response and adds the load of the node to a copy of it.
+func (e *Executor) count(r *wire.Response) *wire.Response {
+	switch r.Outcome {
+	case outcome.Answered:
+		e.Counters.Answered.Add(1)
+	case outcome.RefusedNotRun:
+		e.Counters.Refused.Add(r.Reason)
+	default:
+		e.Counters.Unknown.Add(1)
+	}
+	if r.Reason == outcome.ReasonCanceled {
+		e.Counters.Cancelled.Add(1)
+	}
+	loaded := *r
+	loaded.InUse = int(e.Gate.InUse.Load())
+	loaded.Queued = int(e.Gate.Queued.Load())
+	return &loaded
+}
+
+// admit waits for a slot and runs the request on a worker.
+func (e *Executor) admit(ctx context.Context, r *wire.Request, deadline time.Time) *wire.Response {
+	digest := suspect.Digest(r.Service, r.Method, r.Path, r.Body)
+	release, alone, reason := e.slot(ctx, digest, deadline)
+	if reason != outcome.ReasonNone {
+		return refused(reason)
+	}
+	defer release()
+	e.Counters.Admitted.Add(1)
+	done := make(chan *wire.Response, 1)
+	err := e.pool.Submit(func() { done <- e.begin(ctx, r, digest, alone) })
+	if err != nil {
+		return refused(outcome.ReasonOverloaded)
+	}
+	return <-done
+}
+
+// slot enters the gate, alone if the request is a suspect. The standing is judged again when the slot is granted,
+// since the request may have crashed the target while this one waited.
+func (e *Executor) slot(ctx context.Context, digest uint64, deadline time.Time) (func(), bool, outcome.Reason) {
+	standing := e.judge(digest)
+	for {
+		if standing == suspect.Blocked {
+			e.Counters.SuspectsBlocked.Add(1)
+			return nil, false, outcome.ReasonSuspect
+		}
+		alone := standing == suspect.Suspected
+		release, reason := e.Gate.Enter(ctx, deadline, alone)
+		if reason != outcome.ReasonNone {
+			return nil, false, reason
+		}
+		standing = e.judge(digest)
+		if standing == suspect.Clear || (standing == suspect.Suspected && alone) {
+			return release, alone, outcome.ReasonNone
+		}
+		release()
+	}
+}
+
+func (e *Executor) judge(digest uint64) suspect.Standing {
+	return suspect.Judge(digest, e.crashes.own(), e.othersIndex(), time.Now().UnixMilli(), e.settings.Suspects)
+}
+
+// othersIndex returns the index of the view in force.
+func (e *Executor) othersIndex() *suspect.Index {
+	v := e.deps.View()
+	cached := e.others.Load()
+	if cached == nil || cached.view != v {
+		cached = &othersIndex{view: v, index: suspect.NewIndex(maps.Values(v.Nodes), e.settings.Node)}
+		e.others.Store(cached)
+	}
+	return cached.index
+}
+
+// begin asks the key manager and runs the request unless it is answered already.
+func (e *Executor) begin(ctx context.Context, r *wire.Request, digest uint64, alone bool) *wire.Response {
+	if r.Key == "" {
+		return e.run(ctx, r, digest, alone)
+	}
+	run, finish, answer := e.deps.Keys.Begin(ctx, r)
+	if !run {
+		return answer
+	}
+	response := e.run(ctx, r, digest, alone)
+	finish(response)
+	return response
+}
+
+// publishCrashes writes the crash counts into the entry of the node.
+func (e *Executor) publishCrashes() {
+	e.deps.UpdateSelf(func(entry *endpoint.Entry) { entry.Crashes = e.crashes.own() })
+}
--- /dev/null
+++ b/server/coordination/execute/headers.go
@@ -0,0 +1,149 @@
+package execute
+
+import (
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+)
+
+// Headers that a request carries to its target and along a call chain.
+const (
+	// HeaderDeadline is the remaining time in milliseconds.
+	HeaderDeadline = "Wagtail-Deadline-Ms"
+	// HeaderAttempts is the number of attempts left for the whole call chain.
+	HeaderAttempts = "Wagtail-Attempts"
+	// HeaderDepth is the number of hops that the call chain has taken.
+	HeaderDepth = "Wagtail-Depth"
+	// HeaderKey is the idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
+
+// hopByHop are the headers of RFC 9110, section 7.6.1, that concern one connection only, and those that the codec
+// writes itself. Expect is among them because the body is always sent with the headers.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Proxy-Connection":    true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+	"Content-Length":      true,
+}
+
+// own are the headers that this node writes.
+var own = map[string]bool{
+	HeaderDeadline: true,
+	HeaderAttempts: true,
+	HeaderDepth:    true,
+	HeaderKey:      true,
+}
+
+// check refuses a request that could not be written as one HTTP/1.1 request.
+func check(r *wire.Request) outcome.Reason {
+	if r.TimeoutMS <= 0 {
+		return outcome.ReasonDeadline
+	}
+	if !isToken(r.Method) || !isPath(r.Path) || !isValue(r.Key) {
+		return outcome.ReasonMalformed
+	}
+	for _, h := range r.Headers {
+		if !isToken(h.Name) || !isValue(h.Value) {
+			return outcome.ReasonMalformed
+		}
+	}
+	return outcome.ReasonNone
+}
+
+// isToken reports whether s is a token of RFC 9110, section 5.6.2.
+func isToken(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isPath(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return strings.HasPrefix(s, "/")
+}
+
+func isValue(s string) bool {
+	return strings.IndexAny(s, "\r\n\x00") < 0
+}
+
+// connectionHeaders returns the header names that the values of Connection declare as hop-by-hop.
+func connectionHeaders(headers []wire.Header) map[string]bool {
+	var names map[string]bool
+	for _, h := range headers {
+		if !strings.EqualFold(h.Name, "Connection") {
+			continue
+		}
+		for name := range strings.SplitSeq(h.Value, ",") {
+			if names == nil {
+				names = make(map[string]bool)
+			}
+			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
+
+// fillRequest builds the request to the target. The path is sent as the caller wrote it.
+func fillRequest(req *protocol.Request, r *wire.Request, target Target, remaining time.Duration) {
+	req.Header.SetNoDefaultContentType(true)
+	req.Header.SetMethod(r.Method)
+	req.Header.SetRequestURI(r.Path)
+	req.Header.SetHost(target.Address)
+	dropped := connectionHeaders(r.Headers)
+	for _, h := range r.Headers {
+		name := textproto.CanonicalMIMEHeaderKey(h.Name)
+		if hopByHop[name] || own[name] || dropped[name] {
+			continue
+		}
+		if name == "Host" {
+			req.Header.SetHost(h.Value)
+			continue
+		}
+		req.Header.Add(name, h.Value)
+	}
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 0), 10))
+	req.Header.Set(HeaderAttempts, strconv.Itoa(r.Attempts))
+	req.Header.Set(HeaderDepth, strconv.Itoa(r.Depth))
+	if r.Key != "" {
+		req.Header.Set(HeaderKey, r.Key)
+	}
+	req.SetBodyRaw(r.Body)
+}
+
+// answerHeaders copies the headers of a response without those of the connection.
+func answerHeaders(resp *protocol.Response) []wire.Header {
+	var all []wire.Header
+	resp.Header.VisitAll(func(name, value []byte) {
+		all = append(all, wire.Header{Name: string(name), Value: string(value)})
+	})
+	dropped := connectionHeaders(all)
+	kept := all[:0]
+	for _, h := range all {
+		name := textproto.CanonicalMIMEHeaderKey(h.Name)
+		if !hopByHop[name] && !dropped[name] {
+			kept = append(kept, h)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/server/coordination/execute/run.go
@@ -0,0 +1,118 @@
+package execute
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/transport/httpclient"
+)
+
+// run sends the request to the target.
+func (e *Executor) run(ctx context.Context, r *wire.Request, digest uint64, alone bool) *wire.Response {
+	target := e.Target()
+	if target.Refuse == outcome.ReasonTargetDown || target.Refuse == outcome.ReasonNoTarget {
+		return refused(target.Refuse)
+	}
+	req := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(req)
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(resp)
+	deadline, _ := ctx.Deadline()
+	remaining := time.Until(deadline)
+	fillRequest(req, r, target, remaining)
+	f := e.crashes.start(digest, alone)
+	err := e.client.DoAddress(ctx, target.Address, req, resp, remaining)
+	if err == nil {
+		e.crashes.complete(f)
+		return answered(resp)
+	}
+	return e.failed(err, f, target.Address)
+}
+
+// failed says what became of a request without a whole response.
+func (e *Executor) failed(err error, f *flight, address string) *wire.Response {
+	var notSent *httpclient.NotSentError
+	if errors.As(err, &notSent) {
+		e.crashes.end(f)
+		return refused(notSentReason(err))
+	}
+	if errors.Is(err, httpclient.ErrTooLarge) {
+		e.crashes.complete(f)
+		return unknown(outcome.ReasonAnswerDropped)
+	}
+	if reason := contextReason(err); reason != outcome.ReasonNone {
+		e.crashes.end(f)
+		return unknown(reason)
+	}
+	verdict := e.crashes.broke(f, address)
+	if verdict.first {
+		e.crashed(address)
+	}
+	if verdict.crashed {
+		return unknown(outcome.ReasonTargetCrashed)
+	}
+	return unknown(outcome.ReasonAnswerCut)
+}
+
+// crashed reports a crash that was found by a request.
+func (e *Executor) crashed(address string) {
+	e.Counters.Crashes.Add(1)
+	e.deps.Log.WithField("address", address).Warn("target crashed with requests in flight")
+	// Connections to the previous process are of no use.
+	e.client.CloseIdle()
+	if e.deps.Crashed != nil {
+		e.deps.Crashed()
+	}
+}
+
+// notSentReason says why a request was not sent.
+func notSentReason(err error) outcome.Reason {
+	switch {
+	case errors.Is(err, context.Canceled):
+		return outcome.ReasonCanceled
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.ReasonDeadline
+	case errors.Is(err, httpclient.ErrNoConnection):
+		return outcome.ReasonOverloaded
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return outcome.ReasonTargetDown
+	default:
+		return outcome.ReasonConnectFailed
+	}
+}
+
+// contextReason says why a request that was sent was given up by this node; none if it was not.
+func contextReason(err error) outcome.Reason {
+	switch {
+	case errors.Is(err, context.Canceled):
+		return outcome.ReasonCanceled
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.ReasonTargetTimeout
+	default:
+		return outcome.ReasonNone
+	}
+}
+
+func refused(reason outcome.Reason) *wire.Response {
+	return &wire.Response{Outcome: outcome.RefusedNotRun, Reason: reason}
+}
+
+func unknown(reason outcome.Reason) *wire.Response {
+	return &wire.Response{Outcome: outcome.Unknown, Reason: reason}
+}
+
+// answered copies a whole response of the target.
+func answered(resp *protocol.Response) *wire.Response {
+	return &wire.Response{
+		Outcome: outcome.Answered,
+		Status:  resp.StatusCode(),
+		Headers: answerHeaders(resp),
+		Body:    append([]byte(nil), resp.Body()...),
+	}
+}
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -1,17 +1,22 @@
-// Package httpclient sets up hertz clients that never send a request twice and that report a response as whole
+// Package httpclient sends HTTP/1.1 requests over reused connections, never twice, and reports a response as whole
 // only if its framing proves it.
+//
+// It uses the HTTP/1.1 codec of hertz on connections of its own, because the client of hertz keeps a request running
+// after its context has ended and takes a body that ends with the connection for a whole one.
 package httpclient
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/app/client/retry"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	reqI "github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	respI "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 )
 
 // Limits bound a client in size, number and time.
@@ -19,53 +24,191 @@
 	DialTimeout time.Duration
 	// ConnectionsPerHost limits the open connections to one host.
 	ConnectionsPerHost int
-	// IdleTimeout is how long an idle connection is kept for reuse.
+	// IdleTimeout is how long an idle connection is kept for reuse. It should be below the idle timeout of the
+	// server, so that a connection is not reused in the moment in which the server closes it.
 	IdleTimeout time.Duration
+	// HeaderMaxBytes and BodyMaxBytes limit a response; 0 means the defaults.
+	HeaderMaxBytes int
+	BodyMaxBytes   int
 }
 
-// ErrCut means that a response ended before its framing said so, or that its framing cannot prove that it is whole.
-var ErrCut = errors.New("response cut off")
+const (
+	defaultHeaderMaxBytes = 64 << 10
+	defaultBodyMaxBytes   = 64 << 20
+)
+
+// bodyUntilClose is the content length that hertz reports for a body that ends with the connection.
+const bodyUntilClose = -2
+
+// Errors of a response. They are wrapped in a *LostError.
+var (
+	// ErrCut means that a response ended before its framing said so, or that its framing cannot prove that it is
+	// whole.
+	ErrCut = errors.New("response cut off")
+	// ErrTooLarge means that a response is larger than the limits.
+	ErrTooLarge = errors.New("response too large")
+)
+
+// ErrNoConnection means that the limit of open connections to the host is reached. It is wrapped in a *NotSentError.
+var ErrNoConnection = errors.New("too many connections to the host")
+
+// NotSentError means that no byte of the request left this process.
+type NotSentError struct{ Cause error }
+
+// Error returns the cause.
+func (e *NotSentError) Error() string { return fmt.Sprintf("request not sent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// LostError means that the request may have been sent and that no whole response arrived. The cause is the error of
+// the context if it ended first.
+type LostError struct{ Cause error }
+
+// Error returns the cause.
+func (e *LostError) Error() string { return fmt.Sprintf("no whole response: %v", e.Cause) }
 
-// identityBody is the content length that hertz reports for a body that ends with the connection.
-const identityBody = -2
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
 
 // Client sends requests over reused connections.
 type Client struct {
-	hertz *client.Client
+	limits Limits
+	pool   *pool
 }
 
 // New returns a client with the given limits.
 func New(limits Limits) (*Client, error) {
-	c, err := client.NewClient(
-		client.WithDialTimeout(limits.DialTimeout),
-		client.WithMaxConnsPerHost(limits.ConnectionsPerHost),
-		client.WithMaxIdleConnDuration(limits.IdleTimeout),
-		client.WithDialer(standard.NewDialer()),
-		client.WithNoDefaultUserAgentHeader(true),
-		client.WithRetryConfig(retry.WithMaxAttemptTimes(1)),
-	)
-	if err != nil {
-		return nil, fmt.Errorf("set up HTTP client: %w", err)
+	if limits.ConnectionsPerHost <= 0 {
+		return nil, fmt.Errorf("set up HTTP client: connections per host is %d, must be above 0", limits.ConnectionsPerHost)
+	}
+	if limits.HeaderMaxBytes == 0 {
+		limits.HeaderMaxBytes = defaultHeaderMaxBytes
+	}
+	if limits.BodyMaxBytes == 0 {
+		limits.BodyMaxBytes = defaultBodyMaxBytes
 	}
-	// Without this the library sends an idempotent request again when a reused connection was closed, and its
-	// caller could not count attempts.
-	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
-	return &Client{hertz: c}, nil
+	return &Client{limits: limits, pool: newPool(limits)}, nil
 }
 
-// Do sends the request once and reads the whole response within the timeout. The connection is closed after an
-// error, so a late response is never taken for the answer to a later request.
+// Do sends the request once to the host of its URI, like DoAddress.
 func (c *Client) Do(ctx context.Context, req *protocol.Request, resp *protocol.Response, timeout time.Duration) error {
-	if err := c.hertz.DoTimeout(ctx, req, resp, timeout); err != nil {
-		return err
+	uri := req.URI()
+	if scheme := string(uri.Scheme()); scheme != "http" {
+		return &NotSentError{Cause: fmt.Errorf("scheme %q is not supported", scheme)}
+	}
+	return c.DoAddress(ctx, withPort(string(uri.Host())), req, resp, timeout)
+}
+
+// DoAddress sends the request once to address (host:port) and reads the whole response within the timeout. It
+// returns nil, a *NotSentError or a *LostError. The end of ctx closes the connection, and so does every error, so the
+// server notices a cancellation and a late response is never taken for the answer to a later request.
+func (c *Client) DoAddress(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
+	timeout time.Duration,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	cn, err := c.pool.get(ctx, address)
+	if err != nil {
+		return &NotSentError{Cause: preferContext(ctx, err)}
+	}
+	stop := context.AfterFunc(ctx, cn.abort)
+	reusable, err := c.exchange(cn, req, resp)
+	if !stop() {
+		// The context ended: the connection is closed, or about to be.
+		reusable = false
+	}
+	if err == nil {
+		c.pool.put(cn, reusable)
+		return nil
+	}
+	c.pool.put(cn, false)
+	if cn.written == 0 {
+		return &NotSentError{Cause: preferContext(ctx, err)}
 	}
-	if resp.Header.ContentLength() == identityBody && !resp.SkipBody {
-		return ErrCut
+	return &LostError{Cause: preferContext(ctx, err)}
+}
+
+// preferContext returns the error of a context that ended, since it explains the broken connection.
+func preferContext(ctx context.Context, err error) error {
+	if ctxErr := ctx.Err(); ctxErr != nil {
+		return ctxErr
+	}
+	return err
+}
+
+// exchange writes the request and reads the response. The first result says whether the connection can be reused.
+func (c *Client) exchange(cn *conn, req *protocol.Request, resp *protocol.Response) (bool, error) {
+	resp.Reset()
+	resp.Header.SetNoDefaultContentType(true)
+	cn.written = 0
+	w := network.NewWriter(cn)
+	if err := reqI.Write(req, w); err != nil {
+		return false, err
+	}
+	if err := w.Flush(); err != nil {
+		return false, err
+	}
+	if req.Header.IsHead() {
+		resp.SkipBody = true
+	}
+	cn.reader.max = c.limits.HeaderMaxBytes
+	if err := readHeaders(resp, cn.reader); err != nil {
+		return false, err
+	}
+	if !resp.MustSkipBody() && resp.Header.ContentLength() == bodyUntilClose {
+		return false, ErrCut
+	}
+	if err := c.readBody(resp, cn.reader); err != nil {
+		return false, err
+	}
+	reusable := !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
+	return reusable, cn.reader.Release()
+}
+
+// readHeaders reads the headers of the final response and skips informational ones.
+func readHeaders(resp *protocol.Response, r *reader) error {
+	for {
+		if err := respI.ReadHeaders(resp, r); err != nil {
+			return cut(r, err)
+		}
+		status := resp.StatusCode()
+		if status >= 200 {
+			return nil
+		}
+		if status < 100 || status == 101 {
+			return fmt.Errorf("unexpected status %d: %w", status, ErrCut)
+		}
+	}
+}
+
+func (c *Client) readBody(resp *protocol.Response, r *reader) error {
+	// A body is held in the buffer as a whole before it is copied, with the framing of a chunk.
+	const chunkFraming = 64
+	r.max = c.limits.BodyMaxBytes + chunkFraming
+	if err := respI.ReadRespBody(resp, r, c.limits.BodyMaxBytes); err != nil {
+		return cut(r, err)
+	}
+	if r.err != nil {
+		// The codec ignores the end of the connection in a trailer.
+		return cut(r, r.err)
 	}
 	return nil
 }
 
+// cut maps an error of the codec to ErrTooLarge, ErrCut, or the error of the connection.
+func cut(r *reader, err error) error {
+	switch {
+	case errors.Is(err, hertzerrors.ErrBodyTooLarge), errors.Is(r.err, ErrTooLarge):
+		return ErrTooLarge
+	case r.err != nil && !errors.Is(r.err, io.EOF):
+		return fmt.Errorf("%w: %w", ErrCut, r.err)
+	default:
+		return fmt.Errorf("%w: %v", ErrCut, err)
+	}
+}
+
 // CloseIdle closes the connections that no request uses.
 func (c *Client) CloseIdle() {
-	c.hertz.CloseIdleConnections()
+	c.pool.closeIdle()
 }
