Test the ingress handler against faults

Change: fault table, property test over peer errors and responses, concurrent callers over HTTP, shutdown.

--- /dev/null
+++ b/server/coordination/ingress/concurrent_test.go
@@ -0,0 +1,162 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/transport/httpserver"
+	"wagtailford.example/server/transport/peer"
+)
+
+// serve starts a handler behind a hertz server on loopback and returns its URL.
+func serve(t *testing.T, call func(ctx context.Context, r *wire.Request, reply *wire.Response) error, canceled func()) (string, *Handler) {
+	f := &fakeNet{}
+	h := newTestHandler(t, f, func(_ *Settings, deps *Dependencies) {
+		deps.Call = func(ctx context.Context, _, method string, args, reply any) error {
+			if method == methodCancel {
+				canceled()
+				return nil
+			}
+			return call(ctx, args.(*wire.Request), reply.(*wire.Response))
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := httpserver.New(l, httpserver.Limits{
+		BodyMaxBytes: 4 << 20, HeaderMaxBytes: 64 << 10, ConnectionsMax: 256,
+		ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, ShutdownTimeout: time.Second,
+	})
+	h.Register(s)
+	go s.Run()
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		httpserver.Shutdown(s, 5*time.Second)
+	})
+	return "http://" + l.Addr().String(), h
+}
+
+// TestCallersGetTheirOwnAnswers guards I4: with many callers at once and responses that are decoded after their call
+// was given up, each caller gets the answer to its own request.
+func TestCallersGetTheirOwnAnswers(t *testing.T) {
+	var late sync.WaitGroup
+	url, _ := serve(t, func(_ context.Context, r *wire.Request, reply *wire.Response) error {
+		if r.Method == "GET" && r.ID%3 == 0 {
+			late.Go(func() {
+				*reply = wire.Response{Outcome: outcome.Answered, Status: 200, Body: []byte("late")}
+			})
+			return &peer.LostError{Cause: io.ErrUnexpectedEOF}
+		}
+		body := []byte(r.Path + string(r.Body))
+		*reply = wire.Response{Outcome: outcome.Answered, Status: 201, Body: body, Headers: []wire.Header{{Name: "Set-Cookie", Value: "a=1"}, {Name: "Connection", Value: "X-Hop"}, {Name: "X-Hop", Value: "1"}}}
+		return nil
+	}, nil)
+	var callers sync.WaitGroup
+	for i := range 32 {
+		callers.Go(func() {
+			for n := range 10 {
+				method := []string{"GET", "POST"}[n%2]
+				path := fmt.Sprintf("/shop/%d-%d", i, n)
+				req, _ := http.NewRequest(method, url+path, strings.NewReader("+"+path))
+				resp, err := http.DefaultClient.Do(req)
+				if !assert.Check(t, err) {
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				assert.Check(t, err)
+				if resp.Header.Get(outcome.HeaderOutcome) == "unknown" {
+					continue
+				}
+				assert.Check(t, string(body) == path+"+"+path, "%s got %q", path, body)
+				assert.Check(t, resp.StatusCode == 201 && resp.Header.Get("Set-Cookie") == "a=1" && resp.Header.Get("X-Hop") == "")
+			}
+		})
+	}
+	callers.Wait()
+	late.Wait()
+}
+
+// TestHTTPOutcomes guards the headers of section 3.4, above all that an unknown outcome carries its key.
+func TestHTTPOutcomes(t *testing.T) {
+	url, h := serve(t, func(_ context.Context, r *wire.Request, reply *wire.Response) error {
+		if r.Method == "GET" {
+			*reply = wire.Response{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonQueueFull}
+			return nil
+		}
+		return &peer.LostError{Cause: io.ErrUnexpectedEOF}
+	}, nil)
+	for _, c := range []struct {
+		method, path, status, outcome, reason, retryAfter string
+	}{
+		{"GET", "/shop", "503", "refused-not-run", "queue_full", "1"},
+		{"GET", "/none", "404", "refused-not-run", "no_route", ""},
+		{"POST", "/shop", "504", "unknown", "owner_unreachable", ""},
+	} {
+		req, _ := http.NewRequest(c.method, url+c.path, nil)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, resp.Status[:3], c.status)
+		assert.Equal(t, resp.Header.Get("Wagtail-Outcome"), c.outcome)
+		assert.Equal(t, resp.Header.Get("Wagtail-Reason"), c.reason)
+		assert.Equal(t, resp.Header.Get("Retry-After"), c.retryAfter)
+		assert.Equal(t, resp.Header.Get("Idempotency-Key") != "", c.outcome == "unknown")
+	}
+	values := h.Dump().(State).Counters
+	assert.Equal(t, values.ByReason["refused-not-run/no_route"], int64(1))
+	assert.Equal(t, values.Unknown, int64(1))
+}
+
+// TestDisconnectCancels guards that the executing node learns that the caller has gone.
+func TestDisconnectCancels(t *testing.T) {
+	canceled := make(chan struct{})
+	started := make(chan struct{})
+	url, _ := serve(t, func(ctx context.Context, _ *wire.Request, _ *wire.Response) error {
+		close(started)
+		<-ctx.Done()
+		return &peer.LostError{Cause: ctx.Err()}
+	}, func() { close(canceled) })
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	req, _ := http.NewRequestWithContext(ctx, "POST", url+"/shop", nil)
+	_, err := http.DefaultClient.Do(req)
+	assert.ErrorIs(t, err, context.Canceled)
+	<-canceled
+}
+
+// TestShutdown guards I8: requests in flight finish, later ones are refused as not run, as they are by a full pool.
+func TestShutdown(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{})
+	f := &fakeNet{react: func(int, *wire.Request) reply {
+		close(started)
+		<-release
+		return answered("ok")
+	}}
+	h := newTestHandler(t, f, func(s *Settings, _ *Dependencies) { s.Workers = 1 })
+	result := make(chan *Result)
+	go func() { result <- h.Do(context.Background(), request("POST")) }()
+	<-started
+	assert.Equal(t, describe(h.Do(t.Context(), request("POST"))), "refused-not-run/overloaded")
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, h.Shutdown(ended), context.Canceled)
+	assert.Equal(t, describe(h.Do(t.Context(), request("POST"))), "refused-not-run/shutdown")
+	close(release)
+	assert.Equal(t, describe(<-result), "answered/")
+	assert.NilError(t, h.Shutdown(t.Context()))
+}
--- /dev/null
+++ b/server/coordination/ingress/fault_test.go
@@ -0,0 +1,126 @@
+package ingress
+
+import (
+	"context"
+	"net/rpc"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/view"
+)
+
+func deadMember(node string) *endpoint.Entry {
+	e := member(node)
+	e.State = endpoint.Dead
+	e.DiedMS = 1
+	return e
+}
+
+func fenced(*wire.Request) (*wire.Response, error) { return refuse(outcome.ReasonFenced), nil }
+
+func ranBefore(*wire.Request) (*wire.Response, error) { return answered("recorded").response, nil }
+
+// faults lists, for each fault, the outcome and the number of requests sent. want is "outcome/reason".
+var faults = []struct {
+	name    string
+	request *Request
+	view    *view.View
+	react   []reply
+	resolve func(*wire.Request) (*wire.Response, error)
+	want    string
+	status  int
+	sent    int
+}{
+	{name: "answered", request: request("POST"), react: []reply{answered("ok")}, want: "answered/", status: 200, sent: 1},
+	{name: "mesh key not sent", request: request("POST"), react: []reply{{err: errNotSent}, answered("ok")}, want: "answered/", status: 200, sent: 2},
+	{name: "mesh key never sent", request: request("POST"), react: []reply{{err: errNotSent}}, want: "refused-not-run/connect_failed", status: 503, sent: 3},
+	{name: "caller key never sent", request: request("POST", "Idempotency-Key", "k1"), react: []reply{{err: errNotSent}}, want: "unknown/owner_unreachable", status: 504, sent: 3},
+	{name: "caller key queue full", request: request("POST", "Idempotency-Key", "k1"), react: []reply{refused(outcome.ReasonQueueFull)}, want: "refused-not-run/queue_full", status: 503, sent: 3},
+	{name: "lost and fenced", request: request("POST"), react: []reply{{err: errLost}, answered("ok")}, resolve: fenced, want: "answered/", status: 200, sent: 2},
+	{name: "lost and ran", request: request("POST"), react: []reply{{err: errLost}}, resolve: ranBefore, want: "answered/", status: 200, sent: 1},
+	{name: "lost and owner dead", request: request("POST"), react: []reply{{err: errLost}}, want: "unknown/owner_unreachable", status: 504, sent: 1},
+	{name: "method error may have run", request: request("POST"), react: []reply{{err: rpc.ServerError("boom")}}, want: "unknown/owner_unreachable", status: 504, sent: 1},
+	{name: "idempotent lost", request: request("GET"), react: []reply{{err: errLost}, answered("ok")}, want: "answered/", status: 200, sent: 2},
+	{name: "idempotent always silent", request: request("GET"), react: []reply{{err: errLost}}, want: "unknown/connection_silent", status: 504, sent: 3},
+	{name: "idempotent silent then refused", request: request("GET"), react: []reply{{err: errLost}, refused(outcome.ReasonQueueFull)}, want: "unknown/queue_full", status: 504, sent: 3},
+	{name: "unknown is not retried", request: request("POST"), react: []reply{{response: unknown(outcome.ReasonTargetCrashed)}}, want: "unknown/target_crashed", status: 504, sent: 1},
+	{name: "redirect", request: request("POST", "Idempotency-Key", "k1"), react: []reply{redirected("c"), answered("ok")}, want: "answered/", status: 200, sent: 2},
+	{name: "redirect loop, mesh key", request: request("POST", "Wagtail-Attempts", "1"), react: []reply{redirected("c")}, want: "refused-not-run/not_owner", status: 503, sent: 4},
+	{name: "redirect loop, caller key", request: request("POST", "Idempotency-Key", "k1", "Wagtail-Attempts", "1"), react: []reply{redirected("c")}, want: "unknown/owner_unreachable", status: 504, sent: 4},
+	{name: "owner of caller key dead", request: request("POST", "Idempotency-Key", "k1"), view: testView(deadMember("a")), want: "unknown/owner_died", status: 504},
+	{name: "mesh key avoids the dead", request: request("POST"), view: testView(deadMember("a"), member("b"), member("c")), react: []reply{answered("ok")}, want: "answered/", status: 200, sent: 1},
+	{name: "no target", request: request("GET"), view: testView(), want: "refused-not-run/no_target", status: 503},
+	{name: "key reused", request: request("POST", "Idempotency-Key", "k1"), react: []reply{refused(outcome.ReasonKeyReused)}, want: "refused-not-run/key_reused", status: 400, sent: 1},
+	{name: "invalid answer", request: request("POST"), react: []reply{{response: &wire.Response{Outcome: outcome.Answered}}}, want: "unknown/answer_cut", status: 504, sent: 1},
+	{name: "malformed deadline", request: request("GET", "Wagtail-Deadline-Ms", "soon"), want: "refused-not-run/malformed", status: 400},
+	{name: "malformed key", request: request("POST", "Idempotency-Key", "a b"), want: "refused-not-run/malformed", status: 400},
+	{name: "two keys", request: request("POST", "Idempotency-Key", "a", "idempotency-key", "b"), want: "refused-not-run/malformed", status: 400},
+	{name: "malformed issue time", request: request("POST", "Idempotency-Key", "a", "Idempotency-Key-Issued", "-1"), want: "refused-not-run/malformed", status: 400},
+	{name: "oversized header", request: request("GET", "X", strings.Repeat("x", 20<<10)), want: "refused-not-run/header_too_large", status: 431},
+	{name: "oversized body", request: &Request{Method: "PUT", RoutePath: "/shop", Path: "/shop", Body: make([]byte, 2<<20)}, want: "refused-not-run/too_large", status: 413},
+	{name: "unknown route", request: &Request{Method: "GET", RoutePath: "/shopping", Path: "/shopping"}, want: "refused-not-run/no_route", status: 404},
+	{name: "deadline passed", request: request("POST", "Wagtail-Deadline-Ms", "0"), want: "refused-not-run/deadline", status: 503},
+	{name: "depth exceeded", request: request("GET", "Wagtail-Depth", "16"), want: "refused-not-run/depth_exceeded", status: 503},
+	{name: "no attempt left", request: request("GET", "Wagtail-Attempts", "0"), want: "refused-not-run/attempts_exhausted", status: 503},
+	{name: "not ready", request: request("GET"), view: &view.View{}, want: "refused-not-run/not_ready", status: 503},
+}
+
+// TestFaults guards the outcome, the HTTP status and the number of attempts of each fault.
+func TestFaults(t *testing.T) {
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeNet{view: fault.view, react: script(fault.react...), resolve: fault.resolve}
+				h := newTestHandler(t, f, nil)
+				result := h.Do(t.Context(), fault.request)
+				assert.Equal(t, describe(result), fault.want)
+				assert.Equal(t, outcome.HTTPStatus(result.Outcome, result.Reason, result.Status), fault.status)
+				assert.Equal(t, len(f.sent), fault.sent)
+				seen := make(map[uint64]bool)
+				for _, r := range f.sent {
+					assert.Assert(t, !seen[r.ID], "attempt id %d sent twice", r.ID)
+					seen[r.ID] = true
+				}
+				assert.NilError(t, h.Shutdown(context.Background()))
+			})
+		})
+	}
+}
+
+// TestGeneratedKeyBelongsToItsTarget guards that the node that gets a request is the owner of its generated key;
+// otherwise every such request would be redirected.
+func TestGeneratedKeyBelongsToItsTarget(t *testing.T) {
+	f := &fakeNet{react: script(answered("ok"))}
+	h := newTestHandler(t, f, nil)
+	for range 200 {
+		result := h.Do(t.Context(), request("POST"))
+		assert.Equal(t, describe(result), "answered/")
+	}
+	for i, r := range f.sent {
+		j := &job{h: h, view: f.view}
+		owner := j.place(r.Service, r.Key, r.KeyIssuedMS).Owner
+		assert.Equal(t, f.to[i], owner.Address)
+		assert.Assert(t, r.KeyFromMesh && r.KeyIssuedMS > 0)
+	}
+	assert.Equal(t, h.Counters().KeyMissed.Load(), int64(0))
+	assert.NilError(t, h.Shutdown(t.Context()))
+}
+
+// TestAttemptsShrinkAlongTheChain guards that a repeated attempt gives its subtree fewer attempts.
+func TestAttemptsShrinkAlongTheChain(t *testing.T) {
+	f := &fakeNet{react: script(refused(outcome.ReasonQueueFull))}
+	h := newTestHandler(t, f, nil)
+	h.Do(t.Context(), request("GET", "Wagtail-Depth", "4", "Wagtail-Attempts", "9"))
+	assert.Equal(t, len(f.sent), 3)
+	for i, r := range f.sent {
+		assert.Equal(t, r.Attempts, 3-i)
+		assert.Equal(t, r.Depth, 5)
+	}
+	assert.NilError(t, h.Shutdown(t.Context()))
+}
--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strconv"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -57,6 +58,7 @@
 			header.Add(field.Name, field.Value)
 		}
 		c.Response.SetBodyRaw(r.Body)
+		keepHeadLength(c, r)
 		header.Set(outcome.HeaderOutcome, r.Outcome.String())
 		return
 	}
@@ -71,3 +73,19 @@
 	header.SetContentType("text/plain; charset=utf-8")
 	c.Response.SetBodyString(r.Outcome.String() + ": " + string(r.Reason) + "\n")
 }
+
+// keepHeadLength passes on the length that a target states in its response to HEAD, which has no body to measure.
+func keepHeadLength(c *app.RequestContext, r *Result) {
+	if string(c.Request.Method()) != "HEAD" || len(r.Body) > 0 {
+		return
+	}
+	for _, field := range r.Headers {
+		if !strings.EqualFold(field.Name, "Content-Length") {
+			continue
+		}
+		if length, err := strconv.Atoi(field.Value); err == nil && length >= 0 {
+			c.Response.SkipBody = true
+			c.Response.Header.SetContentLength(length)
+		}
+	}
+}
