--- /dev/null
+++ b/server/coordination/control/loop.go
@@ -0,0 +1,261 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/view"
+)
+
+// Loop is the control goroutine of a node and the state that it owns. All methods may be called from any goroutine;
+// those that change state wait for the control goroutine, so callbacks must not be called on it.
+type Loop struct {
+	settings Settings
+	instance int64
+	// node and domain are the node's name and failure domain; they never change.
+	node, domain string
+	commands     chan func()
+	stopped      chan struct{}
+	counter      counters
+	notify       notifier
+
+	// The control goroutine publishes these.
+	view    atomic.Pointer[view.View]
+	state   atomic.Pointer[config.State]
+	roles   atomic.Pointer[fanout.Roles]
+	contact atomic.Pointer[contact]
+	// changed announces new views, news what syncs may pass on.
+	changed broadcast
+	news    broadcast
+
+	// The control goroutine owns everything below.
+	self        endpoint.Entry
+	table       *endpoint.Table
+	window      window
+	clients     map[string]*client
+	watched     map[string]time.Time
+	unreachable map[string]time.Time
+	admission   *rate.Limiter
+	highest     uint64
+	contacted   bool
+	ready       bool
+	started     time.Time
+	lastTick    time.Time
+	rolesStale  bool
+	// snapshotData is the encoding of snapshotOf.
+	snapshotOf   *config.State
+	snapshotData []byte
+	// passable and passableOffset are the table's sequence number and the log offset at the last coalesced publication;
+	// open polls are answered when the poller lacks something up to there.
+	passable       uint64
+	passableOffset uint64
+	// blockedAt is the offset of the record of an unknown rule version that stopped the fold; 0 if there is none.
+	blockedAt                uint64
+	viewTimer, newsTimer     *time.Timer
+	viewPending, newsPending bool
+}
+
+// contact is the time of the last contact in the sense of rule R6; alone is true if the node knows no other live node.
+type contact struct {
+	at    time.Time
+	alone bool
+}
+
+// New returns a loop for a node. self is the node's own entry at its start.
+func New(settings Settings, self endpoint.Entry) *Loop {
+	now := time.Now()
+	l := &Loop{
+		settings:    settings,
+		instance:    now.UnixNano(),
+		node:        self.Node,
+		domain:      self.FailureDomain,
+		commands:    make(chan func(), commandQueue),
+		stopped:     make(chan struct{}),
+		self:        self,
+		table:       endpoint.NewTable(settings.KeyRetention),
+		window:      window{limit: settings.DeltaWindowRecords},
+		clients:     make(map[string]*client),
+		watched:     make(map[string]time.Time),
+		unreachable: make(map[string]time.Time),
+		admission:   rate.NewLimiter(rate.Limit(settings.SyncAdmissionRate), max(1, int(settings.SyncAdmissionRate))),
+		started:     now,
+		lastTick:    now,
+		rolesStale:  true,
+	}
+	l.notify.init()
+	l.changed.init()
+	l.news.init()
+	l.state.Store(config.New())
+	l.roles.Store(&fanout.Roles{Rank: -1})
+	l.contact.Store(&contact{at: now, alone: true})
+	l.table.Merge(self, "", now)
+	l.passable = l.table.Sequence()
+	l.publishView()
+	return l
+}
+
+// Run serves commands until ctx ends. It must be called once.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.stopped)
+	go l.notify.run(ctx)
+	l.viewTimer = stoppedTimer()
+	l.newsTimer = stoppedTimer()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	l.started = time.Now()
+	l.lastTick = l.started
+	l.updateRoles(l.started)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-l.commands:
+			command()
+		case <-ticker.C:
+			l.tick(time.Now())
+		case <-l.viewTimer.C:
+			l.publishView()
+			l.updateRoles(time.Now())
+		case <-l.newsTimer.C:
+			l.publishNews()
+		}
+	}
+}
+
+func stoppedTimer() *time.Timer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}
+
+// do runs a function on the control goroutine and waits for it.
+func (l *Loop) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	command := func() {
+		defer close(done)
+		f()
+	}
+	select {
+	case l.commands <- command:
+	case <-l.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-l.stopped:
+		return ErrStopped
+	}
+}
+
+// View returns what is in force. It never blocks.
+func (l *Loop) View() *view.View { return l.view.Load() }
+
+// State returns the configuration state. It is never modified.
+func (l *Loop) State() *config.State { return l.state.Load() }
+
+// Roles returns the current roles of the node.
+func (l *Loop) Roles() fanout.Roles { return *l.roles.Load() }
+
+// Offset returns the last log offset folded.
+func (l *Loop) Offset() uint64 { return l.state.Load().Offset() }
+
+// ContactAge returns how long ago this node had contact with a node that would know of its death verdict; 0 if it
+// knows no other live node. It uses the monotonic clock.
+func (l *Loop) ContactAge() time.Duration {
+	c := l.contact.Load()
+	if c.alone {
+		return 0
+	}
+	return max(0, time.Since(c.at))
+}
+
+// Alone reports whether the node knows no other live node.
+func (l *Loop) Alone() bool { return l.contact.Load().alone }
+
+// OnRoles sets the function that is called after the roles changed, with the newest roles. It must be set before Run.
+func (l *Loop) OnRoles(f func(fanout.Roles)) { l.notify.onRoles = f }
+
+// OnDeclaredDead sets the function that is called after the node learned that it was declared dead (rule R8). Its
+// entry has a higher revision and is not eligible by then. It must be set before Run.
+func (l *Loop) OnDeclaredDead(f func()) { l.notify.onDeclaredDead = f }
+
+// OnAhead sets the function that is called with a poller that has a higher offset than this node. It must be set
+// before Run.
+func (l *Loop) OnAhead(f func(fanout.Peer)) { l.notify.onAhead = f }
+
+// UpdateSelf changes the node's own entry on the control goroutine and raises its revision. Node and key are not the
+// caller's to change, except the state. Maps and slices must be replaced, not modified, since views share them. It has
+// no effect if nothing changed or if the loop has stopped.
+func (l *Loop) UpdateSelf(change func(*endpoint.Entry)) {
+	_ = l.do(context.Background(), func() { l.changeSelf(change, time.Now()) })
+}
+
+// MergeEntries merges entries that did not come by a sync, such as members named in a reply to a joiner.
+func (l *Loop) MergeEntries(entries []endpoint.Entry) {
+	_ = l.do(context.Background(), func() {
+		now := time.Now()
+		for _, e := range entries {
+			l.merge(e, e.Node, now)
+		}
+	})
+}
+
+// DeliverRecords folds records that follow the current offset without a gap; records at or below it have no effect.
+func (l *Loop) DeliverRecords(records []config.Record) {
+	_ = l.do(context.Background(), func() {
+		l.contacted = true
+		l.fold(records)
+		l.updateReady()
+	})
+}
+
+// HighestSeen tells the loop that the log holds records up to an offset. It counts as a contact with the log.
+func (l *Loop) HighestSeen(offset uint64) {
+	_ = l.do(context.Background(), func() {
+		l.contacted = true
+		l.highest = max(l.highest, offset)
+		l.updateReady()
+	})
+}
+
+// RestoreSnapshot installs a snapshot if its offset is higher than the current one.
+func (l *Loop) RestoreSnapshot(data []byte) error {
+	state, err := config.DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	return l.do(context.Background(), func() { l.install(state) })
+}
+
+// EncodeSnapshot returns the current offset and the encoded state at it.
+func (l *Loop) EncodeSnapshot() (uint64, []byte, error) {
+	state := l.state.Load()
+	data, err := state.EncodeSnapshot()
+	return state.Offset(), data, err
+}
+
+// WaitOffset waits until the view has reached an offset.
+func (l *Loop) WaitOffset(ctx context.Context, offset uint64) error {
+	for {
+		changed := l.changed.wait()
+		if l.view.Load().Offset >= offset {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.stopped:
+			return ErrStopped
+		}
+	}
+}
--- /dev/null
+++ b/server/coordination/control/service.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Service is the receiver for the net/rpc service wire.ServiceControl.
+type Service struct {
+	loop *Loop
+	ctx  context.Context
+}
+
+// NewService returns the receiver. Open polls end with ctx.
+func NewService(ctx context.Context, loop *Loop) *Service { return &Service{loop: loop, ctx: ctx} }
+
+// Sync answers a poll.
+func (s *Service) Sync(args *wire.SyncArgs, reply *wire.SyncReply) error {
+	r, err := s.loop.HandleSync(s.ctx, args)
+	if err != nil {
+		return err
+	}
+	*reply = *r
+	return nil
+}
+
+// Status reports this node and its children.
+func (s *Service) Status(_ *wire.StatusArgs, reply *wire.StatusReply) error {
+	*reply = s.loop.HandleStatus()
+	return nil
+}
+
+// Drain drains the target beside this node, or undoes that.
+func (s *Service) Drain(args *wire.DrainArgs, reply *wire.DrainReply) error {
+	r, err := s.loop.settings.Drain(*args)
+	*reply = r
+	return err
+}
+
+// Dump returns the state of the process.
+func (s *Service) Dump(_ *wire.DumpArgs, reply *wire.DumpReply) error {
+	data, err := s.loop.settings.DumpJSON()
+	reply.JSON = data
+	return err
+}
+
+// HandleStatus reports what this node and its children have in force, sorted by node.
+func (l *Loop) HandleStatus() wire.StatusReply {
+	v := l.View()
+	reply := wire.StatusReply{Nodes: []wire.NodeStatus{{
+		Node:    l.node,
+		Offset:  v.Offset,
+		Version: v.Version,
+		Ready:   v.Ready,
+	}}}
+	_ = l.do(context.Background(), func() {
+		for _, c := range l.clients {
+			if !c.peer {
+				reply.Nodes = append(reply.Nodes, c.status)
+			}
+		}
+	})
+	slices.SortFunc(reply.Nodes[1:], func(a, b wire.NodeStatus) int { return cmp.Compare(a.Node, b.Node) })
+	return reply
+}
+
+// dumpEntriesMax bounds the entries in a dump.
+const dumpEntriesMax = 2048
+
+// DumpState is the state of the control goroutine for a dump.
+type DumpState struct {
+	Self          endpoint.Entry
+	Instance      int64
+	Offset        uint64
+	Version       uint64
+	HighestOffset uint64
+	Ready         bool
+	BlockedReason string
+	ContactAge    time.Duration
+	WindowBase    uint64
+	WindowRecords int
+	TableSequence uint64
+	Roles         any
+	Children      []wire.NodeStatus
+	Unreachable   []string
+	Entries       []*endpoint.Entry
+	// EntriesOmitted is the number of entries beyond the bound of a dump.
+	EntriesOmitted int
+	Counters       CounterValues
+}
+
+// Dump returns the state of the control goroutine, bounded in size.
+func (l *Loop) Dump() any {
+	var d DumpState
+	err := l.do(context.Background(), func() {
+		state := l.state.Load()
+		d = DumpState{
+			Self:          l.self,
+			Instance:      l.instance,
+			Offset:        state.Offset(),
+			Version:       state.Version(),
+			HighestOffset: l.highest,
+			Ready:         l.ready,
+			BlockedReason: state.BlockedReason(),
+			ContactAge:    l.ContactAge(),
+			WindowBase:    l.window.base,
+			WindowRecords: len(l.window.records),
+			TableSequence: l.table.Sequence(),
+			Roles:         l.Roles(),
+		}
+		for _, c := range l.clients {
+			d.Children = append(d.Children, c.status)
+		}
+		for node := range l.unreachable {
+			d.Unreachable = append(d.Unreachable, node)
+		}
+		d.Entries = l.table.All()
+	})
+	if err != nil {
+		return map[string]string{"error": err.Error()}
+	}
+	if len(d.Entries) > dumpEntriesMax {
+		d.EntriesOmitted = len(d.Entries) - dumpEntriesMax
+		d.Entries = d.Entries[:dumpEntriesMax]
+	}
+	d.Counters = l.Counters()
+	return d
+}
+
+// ChildClosed notes that the process of a child closed its connection: it is suspected without waiting.
+func (l *Loop) ChildClosed(node string) {
+	_ = l.do(context.Background(), func() {
+		if c := l.clients[node]; c != nil {
+			c.closed = true
+		}
+	})
+}
--- /dev/null
+++ b/server/coordination/control/sync.go
@@ -0,0 +1,303 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/coordination/membership"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// HandleSync answers a poll: at once if there is something newer than what the poller has, otherwise after the hold
+// time.
+func (l *Loop) HandleSync(ctx context.Context, args *wire.SyncArgs) (*wire.SyncReply, error) {
+	if args.Node == l.node {
+		return nil, errOwnPoll
+	}
+	received := time.Now()
+	reply := &wire.SyncReply{}
+	var c *client
+	if err := l.do(ctx, func() { c = l.beginPoll(args, reply, received) }); err != nil || c == nil {
+		return reply, err
+	}
+	l.hold(ctx, args)
+	err := l.do(context.Background(), func() { l.endPoll(c, args, reply, received) })
+	return reply, err
+}
+
+// hold returns when there is something newer to pass on, and at the latest after the hold time.
+func (l *Loop) hold(ctx context.Context, args *wire.SyncArgs) {
+	if args.PushOnly {
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(args.HoldMS)*time.Millisecond, l.settings.SyncHold))
+	defer timer.Stop()
+	for {
+		news := l.news.wait()
+		newer := false
+		if err := l.do(ctx, func() { newer = l.hasNews(args) }); err != nil || newer {
+			return
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-l.stopped:
+			return
+		}
+	}
+}
+
+// beginPoll admits a poller and takes what it brings. It returns nil if admission is refused.
+func (l *Loop) beginPoll(args *wire.SyncArgs, reply *wire.SyncReply, now time.Time) *client {
+	c := l.clients[args.Node]
+	if c == nil {
+		if len(l.clients) >= clientsMax || !l.admission.AllowN(now, 1) {
+			l.counter.refused.Add(1)
+			reply.RetryAfterMS = l.retryAfter().Milliseconds()
+			return nil
+		}
+		c = &client{}
+		l.clients[args.Node] = c
+	}
+	if args.PushOnly {
+		l.counter.pushes.Add(1)
+	} else {
+		l.counter.syncs.Add(1)
+	}
+	c.open++
+	c.heard = now
+	c.closed = false
+	c.peer = args.Peer
+	c.status = wire.NodeStatus{Node: args.Node, Offset: args.Offset, Version: args.Version, Ready: args.Ready}
+	if l.isUnreachable(args.Node) {
+		delete(l.unreachable, args.Node)
+		l.rolesStale = true
+	}
+	if args.Entry != nil {
+		l.merge(*args.Entry, args.Node, now)
+	}
+	for _, e := range args.Entries {
+		l.merge(e, args.Node, now)
+	}
+	l.noteAhead(args)
+	return c
+}
+
+// retryAfter spreads pollers that were refused over one to two times ReconnectJitter.
+func (l *Loop) retryAfter() time.Duration {
+	base := max(l.settings.ReconnectJitter, time.Millisecond)
+	return base + rand.N(base)
+}
+
+// noteAhead asks for a sync in the other direction if the poller has a higher offset.
+func (l *Loop) noteAhead(args *wire.SyncArgs) {
+	l.highest = max(l.highest, args.Offset)
+	if args.Offset <= l.state.Load().Offset() {
+		return
+	}
+	e := l.table.Get(args.Node)
+	if e == nil {
+		return
+	}
+	peer := fanout.Peer{Node: e.Node, Address: e.Address}
+	l.notify.post(func() { l.notify.ahead = &peer })
+}
+
+// delta returns the entries that the poller lacks, up to a sequence number of the table.
+func (l *Loop) delta(args *wire.SyncArgs, upTo uint64) endpoint.Delta {
+	sequence := args.TableSequence
+	if args.ParentInstance != l.instance {
+		sequence = 0
+	}
+	notFrom := func(origin string) bool { return origin != args.Node }
+	return l.table.Select(sequence, upTo, replyEntriesMax, notFrom)
+}
+
+// hasNews reports whether something that the poller lacks has been held back long enough.
+func (l *Loop) hasNews(args *wire.SyncArgs) bool {
+	return args.Offset < l.passableOffset || len(l.delta(args, l.passable).Entries) > 0
+}
+
+// fill puts everything that the poller lacks into the reply, including what is still held back: a reply proves
+// contact, so it must not lack a verdict on the poller that this node knows of.
+func (l *Loop) fill(args *wire.SyncArgs, reply *wire.SyncReply) {
+	delta := l.delta(args, l.table.Sequence())
+	reply.Entries = delta.Entries
+	reply.TableSequence = delta.Sequence
+	l.fillRecords(args.Offset, reply)
+}
+
+// fillRecords adds the records after an offset, or a snapshot if the window does not reach back that far.
+func (l *Loop) fillRecords(offset uint64, reply *wire.SyncReply) {
+	state := l.state.Load()
+	if offset >= state.Offset() {
+		return
+	}
+	records, ok := l.window.after(offset)
+	if ok {
+		reply.Records = records
+		return
+	}
+	snapshot, err := l.snapshot(state)
+	if err != nil {
+		return
+	}
+	l.counter.snapshots.Add(1)
+	reply.Snapshot = snapshot
+}
+
+// snapshot encodes the state, and keeps the result for the other children that need the same one.
+func (l *Loop) snapshot(state *config.State) ([]byte, error) {
+	if l.snapshotOf == state {
+		return l.snapshotData, nil
+	}
+	data, err := state.EncodeSnapshot()
+	if err != nil {
+		return nil, err
+	}
+	l.snapshotOf = state
+	l.snapshotData = data
+	return data, nil
+}
+
+// endPoll completes the reply. The poller's silence counts from now.
+func (l *Loop) endPoll(c *client, args *wire.SyncArgs, reply *wire.SyncReply, received time.Time) {
+	now := time.Now()
+	if !args.PushOnly {
+		l.fill(args, reply)
+	}
+	c.open--
+	c.heard = now
+	reply.ParentInstance = l.instance
+	reply.HighestOffset = l.highest
+	reply.Ready = l.ready
+	reply.ContactAgeMS = l.ContactAge().Milliseconds()
+	reply.HeldMS = now.Sub(received).Milliseconds()
+	e := l.table.Get(args.Node)
+	reply.EntryAcknowledged = e != nil && e.Incarnation >= args.Incarnation
+}
+
+// Outgoing returns what this node states to a peer that has acknowledged the table up to a sequence number.
+func (l *Loop) Outgoing(acknowledged uint64) (fanout.Outgoing, error) {
+	var out fanout.Outgoing
+	err := l.do(context.Background(), func() {
+		state := l.state.Load()
+		out = fanout.Outgoing{
+			Node:        l.self.Node,
+			Incarnation: l.self.Incarnation,
+			Offset:      state.Offset(),
+			Version:     state.Version(),
+			Ready:       l.ready,
+			Entry:       l.self,
+		}
+		delta := l.table.Select(acknowledged, l.passable, replyEntriesMax, l.passesUp)
+		out.Sequence = delta.Sequence
+		for _, e := range delta.Entries {
+			if e.Node == l.self.Node {
+				out.EntryChanged = true
+				continue
+			}
+			out.Entries = append(out.Entries, e)
+		}
+	})
+	return out, err
+}
+
+// passesUp reports whether entries of an origin are passed on to a parent: own ones, verdicts, and those that a child
+// delivered. What came from a parent or a remote follower reaches the others by their own parents.
+func (l *Loop) passesUp(origin string) bool {
+	if origin == "" {
+		return true
+	}
+	c := l.clients[origin]
+	return c != nil && !c.peer
+}
+
+// Incoming takes the reply to a poll of this node.
+func (l *Loop) Incoming(in fanout.Incoming) {
+	_ = l.do(context.Background(), func() { l.takeReply(in, time.Now()) })
+}
+
+func (l *Loop) takeReply(in fanout.Incoming, now time.Time) {
+	reply := in.Reply
+	for _, e := range reply.Entries {
+		l.merge(e, cmp.Or(in.From.Node, in.From.Address), now)
+	}
+	l.highest = max(l.highest, reply.HighestOffset)
+	if len(reply.Snapshot) > 0 {
+		l.installEncoded(reply.Snapshot)
+	}
+	l.fold(reply.Records)
+	// A parent that is not ready may itself have missed versions.
+	if reply.Ready {
+		l.contacted = true
+	}
+	l.updateReady()
+	if !in.Push {
+		l.takeContact(in, now)
+	}
+}
+
+// installEncoded decodes and installs a snapshot that a parent sent. One that does not decode is ignored; the offset
+// stays behind, so the next poll asks again.
+func (l *Loop) installEncoded(data []byte) {
+	state, err := config.DecodeSnapshot(data)
+	if err != nil {
+		l.counter.syncsFailed.Add(1)
+		return
+	}
+	l.install(state)
+}
+
+// takeContact notes the contact that a reply proves, and the parent that gave it.
+func (l *Loop) takeContact(in fanout.Incoming, now time.Time) {
+	l.updateAlone(now)
+	held := time.Duration(in.Reply.HeldMS) * time.Millisecond
+	age := time.Duration(in.Reply.ContactAgeMS) * time.Millisecond
+	roles := l.roles.Load()
+	switch in.Relation {
+	case fanout.ToRing, fanout.ToRemote:
+		l.noteContact(membership.ContactTime(in.Sent, held, 0))
+	case fanout.ToParent:
+		l.noteContact(membership.ContactTime(in.Sent, held, age))
+		if !roles.Follower && l.self.Parent != in.From.Node {
+			l.setParent(in.From.Node, now)
+		}
+	}
+}
+
+// SyncFailed takes a peer that did not answer out of this node's choice of roles for a while.
+func (l *Loop) SyncFailed(peer fanout.Peer, _ fanout.Relation) {
+	_ = l.do(context.Background(), func() {
+		l.counter.syncsFailed.Add(1)
+		l.unreachable[peer.Node] = time.Now().Add(unreachableShare * l.settings.Rules.DeadAfter)
+		l.rolesStale = true
+		l.updateRoles(time.Now())
+	})
+}
+
+// News returns a channel that is closed when there is something new to pass on.
+func (l *Loop) News() <-chan struct{} { return l.news.wait() }
+
+// Probes lists the nodes of the own failure domain that a follower asks now and then: those declared dead, which may
+// be on the other side of a healed split.
+func (l *Loop) Probes() []fanout.Peer {
+	if !l.roles.Load().Follower {
+		return nil
+	}
+	var peers []fanout.Peer
+	for _, e := range l.view.Load().Nodes {
+		if e.State == endpoint.Dead && e.FailureDomain == l.domain {
+			peers = append(peers, fanout.Peer{Node: e.Node, Address: e.Address})
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/server/coordination/fanout/link.go
@@ -0,0 +1,186 @@
+package fanout
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wagtailford.example/server/protocol/wire"
+)
+
+// maxLinks bounds the peers whose sync position is remembered; a node syncs with far fewer at a time.
+const maxLinks = 128
+
+// link is the sync position between this node and a peer.
+type link struct {
+	mu sync.Mutex
+	// instance and sequence say what this node has seen of the peer's table.
+	instance int64
+	sequence uint64
+	// acknowledged is the own table's sequence number up to which the peer has what this node passes on.
+	acknowledged uint64
+}
+
+// link returns the position for a peer. A position survives a change of roles, so that a return to an earlier parent
+// does not transfer the whole table again.
+func (s *Syncer) link(p Peer) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[p]
+	if l == nil {
+		if len(s.links) >= maxLinks {
+			clear(s.links)
+		}
+		l = &link{}
+		s.links[p] = l
+	}
+	return l
+}
+
+func (l *link) position() (instance int64, sequence, acknowledged uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instance, l.sequence, l.acknowledged
+}
+
+// advance records a reply. pushed is the sequence number up to which the call delivered the own table, starting at
+// base.
+func (l *link) advance(args *wire.SyncArgs, reply *wire.SyncReply, base, pushed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reply.ParentInstance != l.instance {
+		l.instance = reply.ParentInstance
+		l.sequence = 0
+		l.acknowledged = 0
+	}
+	if !args.PushOnly {
+		l.sequence = max(l.sequence, reply.TableSequence)
+	}
+	switch {
+	case !reply.EntryAcknowledged:
+		l.acknowledged = 0
+	case base <= l.acknowledged:
+		l.acknowledged = max(l.acknowledged, pushed)
+	}
+}
+
+// sync sends one poll and hands the reply to the sink.
+func (s *Syncer) sync(ctx context.Context, l *link, peer Peer, relation Relation, hold time.Duration) (*wire.SyncReply, error) {
+	instance, sequence, acknowledged := l.position()
+	out, err := s.sink.Outgoing(acknowledged)
+	if err != nil {
+		return nil, err
+	}
+	args := newArgs(out, relation)
+	args.ParentInstance = instance
+	args.TableSequence = sequence
+	args.HoldMS = hold.Milliseconds()
+	return s.call(ctx, l, peer, relation, args, acknowledged, out.Sequence)
+}
+
+// push delivers entries that the peer has not acknowledged; it sends nothing if there are none.
+func (s *Syncer) push(ctx context.Context, l *link, peer Peer, relation Relation) (*wire.SyncReply, error) {
+	instance, _, acknowledged := l.position()
+	out, err := s.sink.Outgoing(acknowledged)
+	if err != nil {
+		return nil, err
+	}
+	if !out.EntryChanged && len(out.Entries) == 0 {
+		return nil, nil
+	}
+	args := newArgs(out, relation)
+	args.ParentInstance = instance
+	args.PushOnly = true
+	return s.call(ctx, l, peer, relation, args, acknowledged, out.Sequence)
+}
+
+func newArgs(out Outgoing, relation Relation) *wire.SyncArgs {
+	args := &wire.SyncArgs{
+		Node:        out.Node,
+		Incarnation: out.Incarnation,
+		Offset:      out.Offset,
+		Version:     out.Version,
+		Ready:       out.Ready,
+		Peer:        relation == ToRemote || relation == ToProbe,
+	}
+	if out.EntryChanged {
+		args.Entry = &out.Entry
+	}
+	// A remote follower polls this failure domain itself.
+	if !args.Peer {
+		args.Entries = out.Entries
+	}
+	return args
+}
+
+func (s *Syncer) call(ctx context.Context, l *link, peer Peer, relation Relation, args *wire.SyncArgs, base, pushed uint64) (*wire.SyncReply, error) {
+	hold := time.Duration(args.HoldMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, hold+s.settings.CallSlack)
+	defer cancel()
+	sent := time.Now()
+	reply := &wire.SyncReply{}
+	if err := s.caller.Call(ctx, peer.Address, methodSync, args, reply); err != nil {
+		return nil, err
+	}
+	if reply.RetryAfterMS > 0 {
+		return reply, nil
+	}
+	// The sink takes the entries before the position moves past them.
+	s.sink.Incoming(Incoming{From: peer, Relation: relation, Push: args.PushOnly, Reply: reply, Sent: sent})
+	l.advance(args, reply, base, pushed)
+	return reply, nil
+}
+
+// probeLoop asks seeds while no other node is known, nodes believed dead now and then, and nodes that Pull names.
+// Without probes, the two sides of a failure domain that was split and declared each other dead would never meet.
+func (s *Syncer) probeLoop(ctx context.Context) {
+	sleep(ctx, jitter(s.settings.ReconnectJitter))
+	for ctx.Err() == nil {
+		if s.sink.Alone() {
+			s.askSeeds(ctx)
+		} else if probes := s.sink.Probes(); len(probes) > 0 {
+			s.askOnce(ctx, probes[rand.IntN(len(probes))])
+		}
+		wait := s.settings.ProbeInterval/2 + jitter(s.settings.ProbeInterval)
+		if s.sink.Alone() {
+			wait = s.settings.ReconnectJitter/2 + jitter(s.settings.ReconnectJitter)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case p := <-s.pulls:
+			s.askOnce(ctx, p)
+			// A peer that stays ahead is asked again only after a pause.
+			sleep(ctx, jitter(s.settings.ReconnectJitter))
+		}
+		timer.Stop()
+	}
+}
+
+// askSeeds asks the seeds in random order until one answers.
+func (s *Syncer) askSeeds(ctx context.Context) {
+	s.mu.Lock()
+	seeds := append([]string(nil), s.seeds...)
+	s.mu.Unlock()
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, address := range seeds {
+		if ctx.Err() != nil || s.askOnce(ctx, Peer{Address: address}) {
+			return
+		}
+	}
+}
+
+// askOnce syncs once without waiting at the other end and reports whether it answered.
+func (s *Syncer) askOnce(ctx context.Context, peer Peer) bool {
+	reply, err := s.sync(ctx, &link{}, peer, ToProbe, 0)
+	if err != nil {
+		return false
+	}
+	if reply.RetryAfterMS > 0 {
+		sleep(ctx, time.Duration(reply.RetryAfterMS)*time.Millisecond)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/server/coordination/fanout/roles.go
@@ -0,0 +1,165 @@
+// Package fanout distributes records and entries from the log followers over relays to all nodes. It chooses the
+// roles of a node by rendezvous hashing and runs the sync loops that the roles ask for.
+package fanout
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Mode is the shape of the distribution.
+type Mode string
+
+// Modes. In ModeFlat every node reads the log itself; endpoints take the same paths as in ModeTree.
+const (
+	ModeTree Mode = "tree"
+	ModeFlat Mode = "flat"
+)
+
+// Shape holds the settings that the choice of roles depends on.
+type Shape struct {
+	Mode               Mode
+	FollowersPerDomain int
+	RelayChildren      int
+}
+
+// Peer is a node to sync with.
+type Peer struct {
+	Node    string
+	Address string
+}
+
+// Roles are the duties of one node.
+type Roles struct {
+	// ReadsLog is true if the node follows the log.
+	ReadsLog bool
+	// Follower is true if the node is a log follower of its failure domain; Rank is its place among all members of
+	// the failure domain.
+	Follower bool
+	Rank     int
+	Relay    bool
+	// Parents are the nodes to sync with, in order of preference: parent, second parent, then other relays and
+	// members. Empty for a follower.
+	Parents []Peer
+	// Ring is the next follower of the failure domain; its Node is empty if there is no other.
+	Ring Peer
+	// Remote has one follower of every other failure domain. Only followers have any.
+	Remote []Peer
+	// Followers are the log followers of the failure domain in rank order.
+	Followers []string
+}
+
+// fallbackParents limits how many members are tried beyond the relays.
+const fallbackParents = 8
+
+// Equal reports whether two values ask for the same syncs.
+func (r Roles) Equal(o Roles) bool {
+	return r.ReadsLog == o.ReadsLog && r.Follower == o.Follower && r.Rank == o.Rank && r.Relay == o.Relay &&
+		r.Ring == o.Ring && slices.Equal(r.Parents, o.Parents) && slices.Equal(r.Remote, o.Remote) &&
+		slices.Equal(r.Followers, o.Followers)
+}
+
+// Parent returns the preferred parent; its Node is empty for a follower.
+func (r Roles) Parent() Peer {
+	if len(r.Parents) == 0 {
+		return Peer{}
+	}
+	return r.Parents[0]
+}
+
+// Choose returns the roles of self among the entries. Entries that are not live, and nodes for which unreachable
+// is true, take no role; self always counts as live. All nodes that know the same members choose the same roles.
+func Choose(self *endpoint.Entry, entries []*endpoint.Entry, unreachable func(node string) bool, s Shape) Roles {
+	domains := make(map[string][]*endpoint.Entry)
+	domains[self.FailureDomain] = append(domains[self.FailureDomain], self)
+	for _, e := range entries {
+		if e.Node != self.Node && e.Live() && !unreachable(e.Node) {
+			domains[e.FailureDomain] = append(domains[e.FailureDomain], e)
+		}
+	}
+	own := rank(self.FailureDomain, domains[self.FailureDomain])
+	followers := own[:min(s.FollowersPerDomain, len(own))]
+	relays := own[:min(s.relays(len(own)), len(own))]
+	r := Roles{Rank: slices.Index(own, self)}
+	r.Follower = r.Rank < len(followers)
+	r.Relay = r.Rank < len(relays)
+	r.ReadsLog = r.Follower || s.Mode == ModeFlat
+	for _, f := range followers {
+		r.Followers = append(r.Followers, f.Node)
+	}
+	if !r.Follower {
+		r.Parents = parents(self, own, followers, relays, r.Relay)
+		return r
+	}
+	if len(followers) > 1 {
+		r.Ring = peerOf(followers[(r.Rank+1)%len(followers)])
+	}
+	r.Remote = remote(self.FailureDomain, domains, r.Rank, s.FollowersPerDomain)
+	return r
+}
+
+// relays returns the number of relays of a failure domain with that many members.
+func (s Shape) relays(members int) int {
+	return max(s.FollowersPerDomain, (members+s.RelayChildren-1)/s.RelayChildren)
+}
+
+// parents lists whom a node syncs with, in order of preference.
+func parents(self *endpoint.Entry, own, followers, relays []*endpoint.Entry, relay bool) []Peer {
+	first := rank(self.Node, relays)
+	if relay {
+		first = rank(self.Node, followers)
+	}
+	var list []Peer
+	add := func(entries []*endpoint.Entry) {
+		for _, e := range entries {
+			if p := peerOf(e); e != self && !slices.Contains(list, p) {
+				list = append(list, p)
+			}
+		}
+	}
+	add(first)
+	add(rank(self.Node, relays))
+	add(own[:min(len(own), len(relays)+fallbackParents)])
+	return list
+}
+
+// remote picks one follower of every other failure domain: the one of the same rank, modulo their number.
+func remote(own string, domains map[string][]*endpoint.Entry, place, perDomain int) []Peer {
+	var list []Peer
+	for domain, members := range domains {
+		if domain == own {
+			continue
+		}
+		followers := rank(domain, members)
+		followers = followers[:min(perDomain, len(followers))]
+		list = append(list, peerOf(followers[place%len(followers)]))
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+func peerOf(e *endpoint.Entry) Peer { return Peer{Node: e.Node, Address: e.Address} }
+
+// rank returns the entries in rendezvous order for a key.
+func rank(key string, entries []*endpoint.Entry) []*endpoint.Entry {
+	type weighted struct {
+		entry  *endpoint.Entry
+		weight uint64
+	}
+	list := make([]weighted, len(entries))
+	for i, e := range entries {
+		list[i] = weighted{e, xxhash.Sum64String(e.Node + "\x00" + key)}
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.entry.Node, b.entry.Node))
+	})
+	ranked := make([]*endpoint.Entry, len(list))
+	for i, w := range list {
+		ranked[i] = w.entry
+	}
+	return ranked
+}
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -20,6 +20,9 @@
 	Incarnation int64
 	// Entry is the child's own entry; nil if it has not changed since the parent acknowledged it.
 	Entry *endpoint.Entry
+	// Entries are those that the child learned from its own children, or judged itself, and that the parent has
+	// not acknowledged.
+	Entries []endpoint.Entry
 	// Offset is the last log offset that the child has folded, Version its version in force.
 	Offset  uint64
 	Version config.Version
@@ -31,6 +34,8 @@
 	HoldMS int64
 	// Peer is true between log followers of different failure domains: no liveness verdict follows.
 	Peer bool
+	// PushOnly is true if the call only delivers entries: the reply has no records and no entries.
+	PushOnly bool
 }
 
 // SyncReply answers a poll.
@@ -50,6 +55,11 @@
 	// ContactAgeMS is how long ago the parent, or its own parents, last had contact with the log
 	// or with another failure domain, in milliseconds.
 	ContactAgeMS int64
+	// HeldMS is how long the parent held the poll, in milliseconds. The child counts the contact from the sending of
+	// the poll plus this time, so that a reply that it reads late does not look recent.
+	HeldMS int64
+	// Ready is true if the parent itself has reached the highest offset it knows of.
+	Ready bool
 	// EntryAcknowledged is true if the parent has the child's current entry.
 	EntryAcknowledged bool
 }
--- /dev/null
+++ b/server/state/endpoint/table.go
@@ -0,0 +1,146 @@
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Compare orders keys by incarnation, revision and state.
+func (k Key) Compare(other Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Incarnation, other.Incarnation),
+		cmp.Compare(k.Revision, other.Revision),
+		cmp.Compare(k.State, other.State),
+	)
+}
+
+// Live reports whether the node is believed to run: it is neither dead nor has it left.
+func (e *Entry) Live() bool { return e.State < Dead }
+
+// supersedes reports whether e replaces other. Two verdicts on the same revision differ only in the time of death;
+// the later one wins, since it keeps more keys from running twice.
+func (e *Entry) supersedes(other *Entry) bool {
+	return cmp.Or(e.Key.Compare(other.Key), cmp.Compare(e.DiedMS, other.DiedMS)) > 0
+}
+
+// row is an entry as stored in a table.
+type row struct {
+	entry    *Entry
+	sequence uint64
+	origin   string
+	changed  time.Time
+}
+
+// Table holds the newest known entry of every node. It belongs to one goroutine.
+type Table struct {
+	rows      map[string]*row
+	sequence  uint64
+	retention time.Duration
+}
+
+// NewTable returns an empty table that keeps dead and left entries for retention.
+func NewTable(retention time.Duration) *Table {
+	return &Table{rows: make(map[string]*row), retention: retention}
+}
+
+// Merge stores e if it is newer than the entry that the table has for the node, and reports whether it did. origin
+// names the node that delivered the entry; it is empty for an entry made by this node. An entry of a node that died
+// or left longer ago than the retention is ignored, so that peers cannot bring a removed entry back.
+func (t *Table) Merge(e Entry, origin string, now time.Time) bool {
+	old := t.rows[e.Node]
+	if old != nil && !e.supersedes(old.entry) {
+		return false
+	}
+	if old == nil && t.outdated(&e, now, now) {
+		return false
+	}
+	t.sequence++
+	t.rows[e.Node] = &row{entry: &e, sequence: t.sequence, origin: origin, changed: now}
+	return true
+}
+
+// Get returns the entry of a node, or nil.
+func (t *Table) Get(node string) *Entry {
+	r := t.rows[node]
+	if r == nil {
+		return nil
+	}
+	return r.entry
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Sequence returns the sequence number of the latest change.
+func (t *Table) Sequence() uint64 { return t.sequence }
+
+// All returns the entries sorted by node.
+func (t *Table) All() []*Entry {
+	all := make([]*Entry, 0, len(t.rows))
+	for _, r := range t.rows {
+		all = append(all, r.entry)
+	}
+	slices.SortFunc(all, func(a, b *Entry) int { return cmp.Compare(a.Node, b.Node) })
+	return all
+}
+
+// Delta is a part of the changes of a table, in the order in which they were made.
+type Delta struct {
+	Entries []Entry
+	// Sequence is the sequence number up to which the delta is complete.
+	Sequence uint64
+}
+
+// Since returns the entries that changed after sequence.
+func (t *Table) Since(sequence uint64) Delta {
+	return t.Select(sequence, t.sequence, t.Len(), func(string) bool { return true })
+}
+
+// Select returns at most limit entries that changed after sequence and up to upTo, and whose origin passes the
+// filter.
+func (t *Table) Select(sequence, upTo uint64, limit int, origin func(string) bool) Delta {
+	if sequence >= upTo {
+		return Delta{Sequence: sequence}
+	}
+	var rows []*row
+	for _, r := range t.rows {
+		if r.sequence > sequence && r.sequence <= upTo && origin(r.origin) {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *row) int { return cmp.Compare(a.sequence, b.sequence) })
+	delta := Delta{Sequence: upTo}
+	if len(rows) > limit {
+		rows = rows[:limit]
+		delta.Sequence = rows[limit-1].sequence
+	}
+	for _, r := range rows {
+		delta.Entries = append(delta.Entries, *r.entry)
+	}
+	return delta
+}
+
+// Expire removes entries of nodes that died or left longer ago than the retention and returns their number.
+func (t *Table) Expire(now time.Time) int {
+	removed := 0
+	for node, r := range t.rows {
+		if t.outdated(r.entry, r.changed, now) {
+			delete(t.rows, node)
+			removed++
+		}
+	}
+	return removed
+}
+
+// outdated reports whether the retention of an entry has passed. An entry without a time of death or leave counts
+// from its last change in this table.
+func (t *Table) outdated(e *Entry, changed, now time.Time) bool {
+	if e.Live() {
+		return false
+	}
+	if e.DiedMS != 0 {
+		return now.UnixMilli()-e.DiedMS >= t.retention.Milliseconds()
+	}
+	return now.Sub(changed) >= t.retention
+}
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -59,7 +59,7 @@
 	Eligible bool
 	// Unclean is true if the previous incarnation ended without handing over its key records.
 	Unclean bool
-	// DiedMS is the time of the death verdict, Unix milliseconds; 0 if the entry is not dead.
+	// DiedMS is the time of the death verdict or of the planned leave, Unix milliseconds; 0 in other states.
 	DiedMS int64
 	// StartedMS is the start time of the target, Unix milliseconds, for slow start.
 	StartedMS int64
