Assemble the daemon

Cause: the packages exist but no process runs them. Change: wiring, listeners with limits, operator service with mutual TLS, admin endpoint, expvar counters, dump, seeds, follower start and stop, shutdown order, commands run, check-settings, print-settings, version.

--- a/server/cmd/wagtaild/main.go
+++ b/server/cmd/wagtaild/main.go
@@ -1,4 +1,21 @@
 // Command wagtaild is the daemon that runs beside each target.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"wagtailford.example/server/daemon/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command.New().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "wagtaild:", err)
+		os.Exit(1)
+	}
+}
--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -22,6 +22,9 @@
 		next, verdict := state.Apply(r)
 		state = next
 		l.counter.countResult(verdict.Result)
+		if verdict.Result == config.Accepted {
+			l.installs.add(verdict.Version, r.TimeMS)
+		}
 		if verdict.Result == config.Blocked {
 			l.blockedAt = r.Offset
 			break
--- /dev/null
+++ b/server/coordination/control/installs.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"wagtailford.example/server/state/config"
+)
+
+// installsMax is the number of versions whose convergence is remembered.
+const installsMax = 256
+
+// Install is one version that this node put in force.
+type Install struct {
+	Version config.Version `json:"version"`
+	// LagMS is the time from the log's storing the record until the version was in force here, in milliseconds. It
+	// compares two clocks, so it is only as exact as they agree.
+	LagMS int64 `json:"lag_ms"`
+}
+
+// installs remembers the last versions that came into force record by record; versions skipped by a snapshot are not
+// among them.
+type installs struct {
+	mu   sync.Mutex
+	last []Install
+}
+
+func (i *installs) add(v config.Version, storedMS int64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if len(i.last) == installsMax {
+		i.last = slices.Delete(i.last, 0, 1)
+	}
+	i.last = append(i.last, Install{Version: v, LagMS: time.Now().UnixMilli() - storedMS})
+}
+
+// Installs returns the last versions that came into force here, oldest first.
+func (l *Loop) Installs() []Install {
+	l.installs.mu.Lock()
+	defer l.installs.mu.Unlock()
+	return slices.Clone(l.installs.last)
+}
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -38,6 +38,7 @@
 	self        endpoint.Entry
 	table       *endpoint.Table
 	window      window
+	installs    installs
 	clients     map[string]*client
 	watched     map[string]time.Time
 	unreachable map[string]time.Time
--- /dev/null
+++ b/server/daemon/build.go
@@ -0,0 +1,292 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/rpc"
+	"time"
+
+	"github.com/apex/log"
+
+	"wagtailford.example/server/coordination/admission"
+	"wagtailford.example/server/coordination/announce"
+	"wagtailford.example/server/coordination/control"
+	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/coordination/follow"
+	"wagtailford.example/server/coordination/ingress"
+	"wagtailford.example/server/coordination/membership"
+	"wagtailford.example/server/coordination/ownership"
+	"wagtailford.example/server/coordination/retry"
+	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/protocol/platformlog"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/suspect"
+	"wagtailford.example/server/transport/httpclient"
+	"wagtailford.example/server/transport/peer"
+)
+
+const (
+	// dialTimeout limits a connection attempt inside the mesh and to the target.
+	dialTimeout = time.Second
+	// probeInterval is the mean time between syncs with nodes that are believed dead.
+	probeInterval = 5 * time.Second
+	// controlSlack is how much longer than the hold time a sync may take before its connection counts as silent.
+	controlSlack = time.Second
+	// drainAnnounce is how long a draining target still takes work while the news spreads.
+	drainAnnounce = 500 * time.Millisecond
+	// leaveRetryMax limits the wait between two attempts to hand key records over.
+	leaveRetryMax = 2 * time.Second
+	// connectInterval is the time between two attempts to connect to a starting target.
+	connectInterval = 200 * time.Millisecond
+	// exclusiveWait limits how long slots stay empty for a suspect request.
+	exclusiveWait = time.Second
+	// targetIdleTimeout is below the shortest idle timeout that is common among HTTP servers, 5 s.
+	targetIdleTimeout = 4 * time.Second
+)
+
+func (d *Daemon) credential() peer.Credential {
+	return peer.Credential{Cluster: d.settings.Node.Cluster, Secret: []byte(d.settings.Security.ClusterCredential)}
+}
+
+func (d *Daemon) trafficLimits() peer.Limits {
+	l := peer.DefaultLimits()
+	l.MaxMessageBytes = int(d.settings.Limits.MessageMax)
+	l.MaxConnections = d.settings.Limits.ConnectionsMax
+	l.IdleTimeout = d.settings.Limits.IdleTimeout
+	l.SilenceTimeout = d.settings.Limits.SilenceTimeout
+	l.PingInterval = l.SilenceTimeout / 3
+	return l
+}
+
+// controlLimits let a poll stay open for the hold time without pings, which would cost more bytes than the polls.
+func (d *Daemon) controlLimits() peer.Limits {
+	l := d.trafficLimits()
+	l.SilenceTimeout = d.settings.Fanout.SyncHold + controlSlack
+	l.PingInterval = l.SilenceTimeout - controlSlack/2
+	return l
+}
+
+func (d *Daemon) buildLog() error {
+	client, err := platformlog.New(d.settings.Log.URL, platformlog.Settings{
+		DialTimeout:   dialTimeout,
+		AppendTimeout: d.settings.Log.AppendTimeout,
+	})
+	d.log = client
+	return err
+}
+
+func (d *Daemon) membershipRules() membership.Rules {
+	m := d.settings.Membership
+	return membership.Rules{SuspectAfter: m.SuspectAfter, DeadAfter: m.DeadAfter, SelfFence: m.SelfFence}
+}
+
+func (d *Daemon) buildControl() error {
+	s := d.settings
+	d.controlPool = peer.NewPool(d.credential(), d.controlLimits())
+	d.control = control.New(control.Settings{
+		Rules: d.membershipRules(),
+		Shape: fanout.Shape{
+			Mode:               fanout.Mode(s.Fanout.Mode),
+			FollowersPerDomain: s.Fanout.FollowersPerDomain,
+			RelayChildren:      s.Fanout.RelayChildren,
+		},
+		SyncHold:           s.Fanout.SyncHold,
+		CoalesceWindow:     s.Fanout.CoalesceWindow,
+		SyncAdmissionRate:  float64(s.Fanout.SyncAdmissionRate),
+		ReconnectJitter:    s.Fanout.ReconnectJitter,
+		KeyRetention:       s.Keys.KeyRetention,
+		DeltaWindowRecords: s.Log.DeltaWindowRecords,
+		StartGrace:         d.startGrace(),
+		Drain:              d.drainForPeer,
+		DumpJSON:           d.dump,
+	}, endpoint.Entry{
+		Node:          s.Node.Name,
+		Key:           endpoint.Key{Incarnation: d.started.UnixNano(), Revision: 1},
+		Address:       s.Listen.Peer,
+		FailureDomain: s.Node.FailureDomain,
+		Region:        s.Node.Region,
+	})
+	node, relay, follower := fanout.HoldTimes(s.Fanout.SyncHold, s.Membership.SelfFence)
+	d.syncer = fanout.NewSyncer(d.controlPool, d.control, fanout.Settings{
+		Hold: node, RelayHold: relay, FollowerHold: follower,
+		ReconnectJitter: s.Fanout.ReconnectJitter,
+		CallSlack:       controlSlack,
+		ProbeInterval:   probeInterval,
+		RetryMax:        s.Log.RetryMax,
+		Seeds:           s.Node.Seeds,
+	})
+	d.control.OnRoles(d.rolesChanged)
+	d.control.OnAhead(d.syncer.Pull)
+	d.control.OnDeclaredDead(func() { d.keys.DeclaredDead() })
+	followSettings := follow.DefaultSettings()
+	followSettings.PollWait = s.Log.PollWait
+	followSettings.RetryMax = s.Log.RetryMax
+	followSettings.Retention = s.Log.Retention
+	followSettings.SnapshotRecords = uint64(s.Log.SnapshotRecords)
+	rank := func() int { return d.control.Roles().Rank }
+	d.follower = follow.New(followSink{d.control}, d.log, rank, followSettings, log.Log)
+	return nil
+}
+
+// startGrace is how long a node that has seeds waits for them before it takes the role of a follower.
+func (d *Daemon) startGrace() time.Duration {
+	if len(d.settings.Node.Seeds) == 0 {
+		return 0
+	}
+	return d.settings.Fanout.ReconnectJitter + dialTimeout
+}
+
+// followSink adapts the control loop to the log follower.
+type followSink struct {
+	*control.Loop
+}
+
+// RestoreSnapshot installs a snapshot; one that does not decode is logged and ignored.
+func (s followSink) RestoreSnapshot(data []byte) {
+	if err := s.Loop.RestoreSnapshot(data); err != nil {
+		log.WithError(err).Error("snapshot from the log cannot be installed")
+	}
+}
+
+func (d *Daemon) rules() ownership.Rules {
+	return ownership.Rules{
+		KeyRetention: d.settings.Keys.KeyRetention,
+		ClockSkewMax: d.settings.Keys.ClockSkewMax,
+		SelfFence:    d.settings.Membership.SelfFence,
+	}
+}
+
+func (d *Daemon) buildTraffic() error {
+	s := d.settings
+	d.trafficPool = peer.NewPool(d.credential(), d.trafficLimits())
+	keySettings := ownership.DefaultSettings(s.Node.Name)
+	keySettings.Rules = d.rules()
+	keySettings.DeadAfter = s.Membership.DeadAfter
+	keySettings.RecordsMax = s.Keys.RecordsMax
+	keySettings.AnswerBytesMax = int(s.Keys.AnswerBytesMax)
+	d.keys = ownership.New(keySettings, ownership.Deps{
+		View:         d.control.View,
+		ContactAge:   d.control.ContactAge,
+		UpdateSelf:   d.control.UpdateSelf,
+		Call:         d.trafficPool.Call,
+		Now:          time.Now,
+		MergeEntries: d.control.MergeEntries,
+		SeenBefore:   d.seenBefore,
+	})
+	if err := d.buildExecutor(); err != nil {
+		return err
+	}
+	return d.buildIngress()
+}
+
+func (d *Daemon) buildExecutor() error {
+	s := d.settings
+	var err error
+	d.executor, err = execute.New(execute.Settings{
+		Node:    s.Node.Name,
+		Workers: s.Admission.Workers,
+		Admission: admission.Settings{
+			Slots:          s.Admission.Slots,
+			Queue:          s.Admission.Queue,
+			ExclusiveQueue: s.Suspects.SuspectsMax,
+			SlowStart:      s.Routing.SlowStart,
+			ExclusiveWait:  exclusiveWait,
+		},
+		Suspects: suspect.Limits{CrashLimit: s.Suspects.CrashLimit, TTL: s.Suspects.SuspectTTL, Max: s.Suspects.SuspectsMax},
+		Client: httpclient.Limits{
+			DialTimeout:        dialTimeout,
+			ConnectionsPerHost: s.Target.ConnectionsMax,
+			IdleTimeout:        targetIdleTimeout,
+			BodyMaxBytes:       int(s.Limits.BodyMax),
+		},
+	}, execute.Dependencies{
+		View:       d.control.View,
+		Keys:       keyAdapter{d.keys},
+		UpdateSelf: d.control.UpdateSelf,
+		Crashed:    func() { d.announce.TargetCrashed() },
+		Log:        log.Log,
+	})
+	if err != nil {
+		return err
+	}
+	d.announce, err = announce.New(announce.Settings{
+		Lease:           s.Target.AnnounceLease,
+		DrainAnnounce:   drainAnnounce,
+		HealthInterval:  s.Target.HealthInterval,
+		ConnectInterval: connectInterval,
+		RetryMax:        leaveRetryMax,
+		Slots:           s.Admission.Slots,
+	}, announce.Dependencies{
+		Runner:     d.executor,
+		UpdateSelf: d.control.UpdateSelf,
+		Join:       d.keys.Join,
+		Leave:      d.keys.Leave,
+		Log:        log.Log,
+	})
+	return err
+}
+
+// keyAdapter adapts the key manager to the executor.
+type keyAdapter struct {
+	*ownership.Manager
+}
+
+// Begin decides whether to run a request that has a key.
+func (k keyAdapter) Begin(ctx context.Context, r *wire.Request) (bool, func(*wire.Response), *wire.Response) {
+	decision := k.Manager.Begin(ctx, r)
+	return decision.Run(), decision.Finish, decision.Response
+}
+
+func (d *Daemon) buildIngress() error {
+	s := d.settings
+	in := ingress.DefaultSettings()
+	in.Node = s.Node.Name
+	in.Place = routing.Place{FailureDomain: s.Node.FailureDomain, Region: s.Node.Region}
+	in.Workers = s.Admission.Workers
+	in.BodyMaxBytes = int(s.Limits.BodyMax)
+	in.HeaderMaxBytes = int(s.Limits.HeaderMax)
+	in.DefaultTimeout = s.Routing.DefaultTimeout
+	in.MaxAttempts = s.Routing.MaxAttempts
+	in.MaxDepth = s.Routing.MaxDepth
+	in.Routing.EjectFailures = s.Routing.EjectFailures
+	in.Routing.EjectTime = s.Routing.EjectTime
+	in.Routing.SlowStart = s.Routing.SlowStart
+	in.Routing.PanicFraction = s.Membership.PanicFraction
+	in.Budget = retry.DefaultBudget()
+	in.Budget.Fraction = s.Routing.RetryFraction
+	in.Ownership = d.rules()
+	var err error
+	d.ingress, err = ingress.New(in, ingress.Dependencies{
+		View:           d.control.View,
+		Call:           d.trafficPool.Call,
+		Local:          d.executor.Execute,
+		MergeEntries:   d.control.MergeEntries,
+		Resolver:       d.keys,
+		Random:         rand.Uint64,
+		FirstAttemptID: uint64(d.started.UnixNano()),
+	})
+	return err
+}
+
+func (d *Daemon) buildServers() error {
+	r := rpc.NewServer()
+	background := context.Background()
+	services := []struct {
+		name     string
+		receiver any
+	}{
+		{wire.ServiceControl, control.NewService(background, d.control)},
+		{wire.ServiceNode, d.executor.Receiver()},
+		{wire.ServiceOwnership, d.keys.Receiver()},
+	}
+	for _, service := range services {
+		if err := r.RegisterName(service.name, service.receiver); err != nil {
+			return fmt.Errorf("register %s: %w", service.name, err)
+		}
+	}
+	d.peers = peer.NewServer(r, d.credential(), d.trafficLimits())
+	return nil
+}
--- /dev/null
+++ b/server/daemon/command/command.go
@@ -0,0 +1,98 @@
+// Package command holds the commands of wagtaild.
+package command
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/spf13/cobra"
+
+	"wagtailford.example/server/daemon"
+	"wagtailford.example/server/daemon/settings"
+	"wagtailford.example/server/state/config"
+)
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "wagtaild",
+		Short:         "Node of a wagtailford mesh",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(), checkCommand(), printCommand(), versionCommand())
+	return root
+}
+
+func runCommand() *cobra.Command {
+	var level string
+	cmd := &cobra.Command{
+		Use:   "run FILE",
+		Short: "Run the node with a settings file until SIGTERM",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			parsed, err := log.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("unknown log level %q: use debug, info, warn or error", level)
+			}
+			s, err := settings.Load(args[0])
+			if err != nil {
+				return err
+			}
+			log.SetHandler(json.New(os.Stderr))
+			log.SetLevel(parsed)
+			hlog.SetLevel(hlog.LevelFatal)
+			d, err := daemon.New(s)
+			if err != nil {
+				return err
+			}
+			return d.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error; can be changed at run time")
+	return cmd
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check-settings FILE",
+		Short: "Check a settings file and list every fault",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0]); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), args[0]+": valid")
+			return nil
+		},
+	}
+}
+
+func printCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "print-settings",
+		Short: "Print every key with unit, range and default",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return settings.Print(cmd.OutOrStdout()) },
+	}
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of the program and of its rules",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "wagtaild %s, rule version %d, %s\n", version, config.RuleVersion, runtime.Version())
+		},
+	}
+}
--- /dev/null
+++ b/server/daemon/listen.go
@@ -0,0 +1,197 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"wagtailford.example/server/coordination/operator"
+	"wagtailford.example/server/daemon/admin"
+	"wagtailford.example/server/protocol/platformlog"
+	"wagtailford.example/server/transport/httpserver"
+)
+
+const (
+	// adminConnectionsMax and operatorConnectionsMax limit connections that only operators and monitoring open.
+	adminConnectionsMax    = 64
+	operatorStreamsMax     = 64
+	operatorMessageMax     = 4 << 20
+	operatorParallelCalls  = 32
+	operatorCallTimeout    = 2 * time.Second
+	operatorConnectionIdle = 5 * time.Minute
+	// writeTimeout limits the writing of an HTTP response.
+	writeTimeout = 30 * time.Second
+)
+
+// listeners are the open listeners of a daemon and the servers on them.
+type listeners struct {
+	peer, ingress, operator, announce, admin net.Listener
+
+	http []*server.Hertz
+	grpc *grpc.Server
+}
+
+func (d *Daemon) openListeners() error {
+	d.listeners = &listeners{}
+	l := d.settings.Listen
+	for _, item := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{
+		{"peer", l.Peer, &d.listeners.peer},
+		{"ingress", l.Ingress, &d.listeners.ingress},
+		{"operator", l.Operator, &d.listeners.operator},
+		{"announce", l.Announce, &d.listeners.announce},
+		{"admin", l.Admin, &d.listeners.admin},
+	} {
+		if item.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", item.address)
+		if err != nil {
+			return fmt.Errorf("listen on %s address: %w", item.name, err)
+		}
+		*item.listener = listener
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.peer, l.ingress, l.operator, l.announce, l.admin} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// shutdown stops the servers. The peer listener is closed last, since other nodes ask for outcomes through it.
+func (l *listeners) shutdown(ctx context.Context) {
+	if l.grpc != nil {
+		l.grpc.Stop()
+	}
+	for _, h := range l.http {
+		_ = h.Shutdown(ctx)
+	}
+	l.close()
+}
+
+func (d *Daemon) httpLimits() httpserver.Limits {
+	return httpserver.Limits{
+		BodyMaxBytes:    int(d.settings.Limits.BodyMax),
+		HeaderMaxBytes:  int(d.settings.Limits.HeaderMax),
+		ConnectionsMax:  d.settings.Limits.ConnectionsMax,
+		ReadTimeout:     d.settings.Limits.ReadTimeout,
+		WriteTimeout:    writeTimeout,
+		IdleTimeout:     d.settings.Limits.IdleTimeout,
+		ShutdownTimeout: d.settings.Node.ShutdownTimeout,
+	}
+}
+
+// serve starts every server and returns a channel that receives the first failure.
+func (d *Daemon) serve(ctx context.Context) <-chan error {
+	failed := make(chan error, 1)
+	run := func(name string, f func() error) {
+		go func() {
+			err := f()
+			if err == nil || ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			select {
+			case failed <- fmt.Errorf("%s: %w", name, err):
+			default:
+			}
+		}()
+	}
+	ingressServer := httpserver.New(d.listeners.ingress, d.httpLimits())
+	d.ingress.Register(ingressServer)
+	local := d.httpLimits()
+	local.ConnectionsMax = adminConnectionsMax
+	announceServer := httpserver.New(d.listeners.announce, local)
+	d.announce.Register(announceServer)
+	adminServer := admin.New(d.listeners.admin, local, admin.Deps{
+		Dump:        d.dump,
+		Ready:       func() bool { return d.control.View().Ready },
+		Convergence: func() any { return d.control.Installs() },
+	})
+	d.listeners.http = []*server.Hertz{ingressServer, announceServer, adminServer}
+	run("peer listener", func() error { return d.peers.Serve(d.listeners.peer) })
+	run("ingress listener", ingressServer.Run)
+	run("announce listener", announceServer.Run)
+	run("admin listener", adminServer.Run)
+	if d.listeners.operator != nil {
+		if err := d.buildOperator(); err != nil {
+			failed <- err
+			return failed
+		}
+		run("operator listener", func() error { return d.listeners.grpc.Serve(d.listeners.operator) })
+	}
+	return failed
+}
+
+func (d *Daemon) buildOperator() error {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(operatorMessageMax),
+		grpc.MaxConcurrentStreams(operatorStreamsMax),
+		grpc.ConnectionTimeout(d.settings.Limits.ReadTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: operatorConnectionIdle}),
+		grpc.MaxHeaderListSize(uint32(d.settings.Limits.HeaderMax)),
+	}
+	if d.settings.Security.OperatorCertFile != "" {
+		creds, err := d.operatorCredentials()
+		if err != nil {
+			return err
+		}
+		options = append(options, grpc.Creds(creds))
+	}
+	d.listeners.grpc = grpc.NewServer(options...)
+	operator.New(operator.Settings{
+		Node:          d.settings.Node.Name,
+		AppendTimeout: d.settings.Log.AppendTimeout,
+		CallTimeout:   operatorCallTimeout,
+		ParallelCalls: operatorParallelCalls,
+	}, operator.Deps{
+		Control: d.control,
+		Log:     d.log,
+		Caller:  d.controlPool,
+		NotAppended: func(err error) bool {
+			var notAppended *platformlog.NotAppendedError
+			return errors.As(err, &notAppended)
+		},
+		Drain: d.drainForOperator,
+		Dump:  d.dump,
+	}).Register(d.listeners.grpc)
+	return nil
+}
+
+// operatorCredentials asks operators for a certificate of the configured authority.
+func (d *Daemon) operatorCredentials() (credentials.TransportCredentials, error) {
+	s := d.settings.Security
+	cert, err := tls.LoadX509KeyPair(s.OperatorCertFile, s.OperatorKeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load operator certificate: %w", err)
+	}
+	pem, err := os.ReadFile(s.OperatorCAFile)
+	if err != nil {
+		return nil, fmt.Errorf("load operators' certificate authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no certificate", s.OperatorCAFile)
+	}
+	return credentials.NewTLS(&tls.Config{
+		Certificates: []tls.Certificate{cert},
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}), nil
+}
--- /dev/null
+++ b/server/daemon/state.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"runtime"
+	"time"
+
+	"wagtailford.example/server/coordination/operator"
+	"wagtailford.example/server/daemon/admin"
+	"wagtailford.example/server/protocol/wire"
+)
+
+// metricsName is the name of the expvar variable with all counters.
+const metricsName = "wagtaild"
+
+// publishMetrics makes the counters of all parts one expvar variable.
+func (d *Daemon) publishMetrics() {
+	expvar.Publish(metricsName, expvar.Func(func() any {
+		return map[string]any{
+			"PeerServer":  d.peers.Counters().Values(),
+			"ControlPool": d.controlPool.Counters().Values(),
+			"TrafficPool": d.trafficPool.Counters().Values(),
+			"Log":         d.log.Stats(),
+			"Follower":    d.follower.Stats(),
+			"Control":     d.control.Counters(),
+			"Ingress":     d.ingress.Counters().Values(),
+			"Process": map[string]any{
+				"Goroutines":    runtime.NumGoroutine(),
+				"UptimeSeconds": int64(time.Since(d.started).Seconds()),
+			},
+			"Execute":   d.executor.Dump(),
+			"Announce":  d.announce.Dump(),
+			"Ownership": d.keys.Dump(),
+		}
+	}))
+}
+
+// dump returns the state of the process as JSON.
+func (d *Daemon) dump() ([]byte, error) {
+	data, err := json.MarshalIndent(map[string]any{
+		"node":      d.settings.Node,
+		"listen":    d.settings.Listen,
+		"started":   d.started,
+		"control":   d.control.Dump(),
+		"roles":     d.control.Roles(),
+		"follower":  d.follower.Stats(),
+		"ownership": d.keys.Dump(),
+		"execute":   d.executor.Dump(),
+		"announce":  d.announce.Dump(),
+		"ingress":   d.ingress.Dump(),
+	}, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > admin.DumpMaxBytes {
+		return nil, fmt.Errorf("the dump has %d bytes, the limit is %d", len(data), admin.DumpMaxBytes)
+	}
+	return data, nil
+}
+
+func (d *Daemon) drainForPeer(args wire.DrainArgs) (wire.DrainReply, error) {
+	return wire.DrainReply{State: d.announce.Drain(args.Undrain)}, nil
+}
+
+func (d *Daemon) drainForOperator(undrain bool) (string, error) {
+	return operator.StateName(d.announce.Drain(undrain)), nil
+}
