--- /dev/null
+++ b/server/coordination/ownership/join.go
@@ -0,0 +1,289 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Errors of Join.
+var (
+	// ErrNoService means that no target has announced itself, so there is no service to join.
+	ErrNoService = errors.New("no target has announced itself")
+	errRestarted = errors.New("member restarted during the transfer")
+	errNoRoom    = errors.New("no room for the records of a member")
+)
+
+// joining is the progress of one Join.
+type joining struct {
+	self endpoint.Entry
+	// asked are the members that acknowledged, by node.
+	asked map[string]acknowledgement
+	// learned are the members that replies named.
+	learned map[string]endpoint.Entry
+	// previous is true if an earlier incarnation of this node ended without handing over its records.
+	previous bool
+}
+
+// acknowledgement is what one member said.
+type acknowledgement struct {
+	incarnation int64
+	// responsible is true if the member owned keys before this node joined.
+	responsible bool
+	// inherited are the lost nodes that were lost before the member itself joined.
+	inherited map[string]bool
+}
+
+// Join takes over the records for which this node is going to rank first, from every member of its service, and
+// then makes the node eligible (rule R2). It repeats calls until every member has answered or is declared dead, or
+// until ctx ends or Leave is called. It must be called when the target announces itself and after DeclaredDead.
+func (m *Manager) Join(ctx context.Context) error {
+	m.joinMu.Lock()
+	defer m.joinMu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	j, err := m.startJoin(cancel)
+	if err != nil || j == nil {
+		return err
+	}
+	for {
+		missing := m.missing(j)
+		if len(missing) == 0 {
+			break
+		}
+		if failed := m.askAll(ctx, j, missing); failed == nil {
+			continue
+		}
+		if err := pause(ctx, m.settings.RetryInterval); err != nil {
+			return fmt.Errorf("join: %w", err)
+		}
+	}
+	m.completeJoin(ctx, j)
+	return nil
+}
+
+// startJoin enters the joining phase. It returns nil if the node is eligible already.
+func (m *Manager) startJoin(cancel context.CancelFunc) (*joining, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cancelJoin = cancel
+	v := m.deps.View()
+	if v == nil || v.Nodes[m.node] == nil || v.Nodes[m.node].Service == "" {
+		return nil, ErrNoService
+	}
+	if m.phase == phaseEligible {
+		return nil, nil
+	}
+	m.service = v.Nodes[m.node].Service
+	// The members have to be selected anew, since the service may have changed.
+	m.view = nil
+	m.observe()
+	m.setPhase(phaseJoining)
+	m.counters.joins.Add(1)
+	return &joining{
+		self:    *v.Nodes[m.node],
+		asked:   make(map[string]acknowledgement),
+		learned: make(map[string]endpoint.Entry),
+	}, nil
+}
+
+// missing lists the members that have not acknowledged under their current incarnation.
+func (m *Manager) missing(j *joining) []endpoint.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.observe()
+	var out []endpoint.Entry
+	consider := func(e *endpoint.Entry) {
+		a, ok := j.asked[e.Node]
+		if e.Node != m.node && !(ok && a.incarnation >= e.Incarnation) && mustAcknowledge(e) {
+			out = append(out, *e)
+		}
+	}
+	for _, e := range m.members {
+		known := *e
+		if l, ok := j.learned[e.Node]; ok && older(e, &l) {
+			known = l
+		}
+		consider(&known)
+	}
+	for node, e := range j.learned {
+		if contains(m.members, node) {
+			continue
+		}
+		if current := m.view.Nodes[node]; current != nil && !older(current, &e) {
+			// The node has left the service.
+			continue
+		}
+		if e.Eligible && e.State == endpoint.Dead {
+			m.lose(node, e.DiedMS, now)
+		}
+		consider(&e)
+	}
+	return out
+}
+
+// mustAcknowledge reports whether a joiner has to wait for a member.
+func mustAcknowledge(e *endpoint.Entry) bool {
+	switch e.State {
+	case endpoint.Alive, endpoint.Draining, endpoint.Suspect:
+		return true
+	case endpoint.NoTarget:
+		return e.Eligible
+	default:
+		return false
+	}
+}
+
+// askAll asks every missing member once and returns the last error.
+func (m *Manager) askAll(ctx context.Context, j *joining, missing []endpoint.Entry) error {
+	var failed error
+	for i := range missing {
+		if err := m.ask(ctx, j, &missing[i]); err != nil {
+			m.counters.callsFailed.Add(1)
+			failed = err
+		}
+	}
+	return failed
+}
+
+// ask transfers the records of one member, page by page.
+func (m *Manager) ask(ctx context.Context, j *joining, member *endpoint.Entry) error {
+	ack := acknowledgement{incarnation: member.Incarnation, inherited: make(map[string]bool)}
+	previous := false
+	first := true
+	for cursor := uint64(0); first || cursor > 0; first = false {
+		var reply wire.TakeOverReply
+		args := wire.TakeOverArgs{Joiner: j.self, Cursor: cursor}
+		if err := m.call(ctx, member.Address, methodTakeOver, &args, &reply); err != nil {
+			return fmt.Errorf("take over from %s: %w", member.Node, err)
+		}
+		if err := m.learn(j, &ack, member, &reply, first); err != nil {
+			return err
+		}
+		previous = previous || reply.KnewPrevious
+		cursor = reply.Cursor
+	}
+	j.asked[member.Node] = ack
+	j.previous = j.previous || previous
+	return nil
+}
+
+// learn takes in one page of a member's reply.
+func (m *Manager) learn(j *joining, ack *acknowledgement, member *endpoint.Entry, reply *wire.TakeOverReply, first bool) error {
+	m.deps.MergeEntries(reply.Members)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.observe()
+	for _, e := range reply.Members {
+		known, ok := j.learned[e.Node]
+		if e.Node != m.node && (!ok || older(&known, &e)) {
+			j.learned[e.Node] = e
+		}
+		if e.Node == m.node || e.Service != m.service || !Ranks(&e) || e.State == endpoint.Dead {
+			continue
+		}
+		if known := m.entry(e.Node); known == nil || older(known, &e) {
+			m.gates[e.Node] = gate{entry: e, since: now}
+		}
+	}
+	for _, e := range reply.Members {
+		if e.Node != member.Node {
+			continue
+		}
+		if e.Incarnation > ack.incarnation {
+			if !first {
+				return errRestarted
+			}
+			if member.Eligible {
+				m.lose(member.Node, now.UnixMilli(), now)
+			}
+			ack.incarnation = e.Incarnation
+		}
+		ack.responsible = e.Eligible
+	}
+	return m.importPage(ack, reply.Records, now)
+}
+
+func (m *Manager) importPage(ack *acknowledgement, records []wire.KeyRecord, now time.Time) error {
+	for i := range records {
+		r := &records[i]
+		if r.Key == "" {
+			if r.State == wire.KeyMoved {
+				ack.inherited[r.Executor] = true
+			}
+			if r.Executor != m.node {
+				died := now.Add(time.Duration(r.ExpiresInMS)*time.Millisecond - m.rules.KeyRetention)
+				m.lose(r.Executor, died.UnixMilli(), now)
+			}
+			continue
+		}
+		if !m.importRecord(now, m.importable(r, now)) {
+			return errNoRoom
+		}
+	}
+	return nil
+}
+
+// completeJoin makes the node eligible. The entry is published first, so that every entry of this node that could
+// have started a key says that it ranks.
+func (m *Manager) completeJoin(ctx context.Context, j *joining) {
+	if len(j.asked) == 0 {
+		seen, err := m.deps.SeenBefore(ctx)
+		j.previous = seen || err != nil
+	}
+	m.mu.Lock()
+	now := m.observe()
+	if j.previous {
+		m.lose(m.node, m.started.UnixMilli(), now)
+	}
+	for node, l := range m.lost {
+		if node == m.node {
+			continue
+		}
+		l.Older = j.responsibleBefore(node)
+		m.inherited[node] = l
+	}
+	_, unclean := m.lost[m.node]
+	m.mu.Unlock()
+	m.deps.UpdateSelf(func(e *endpoint.Entry) {
+		e.Eligible = true
+		e.Unclean = unclean
+	})
+	m.mu.Lock()
+	m.setPhase(phaseEligible)
+	m.mu.Unlock()
+}
+
+// responsibleBefore lists the members that owned keys before a node was lost.
+func (j *joining) responsibleBefore(lost string) []string {
+	var out []string
+	for node, a := range j.asked {
+		if a.responsible && !a.inherited[lost] && node != lost {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// call calls a method of another node within the call timeout.
+func (m *Manager) call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, m.settings.CallTimeout)
+	defer cancel()
+	return m.deps.Call(ctx, address, method, args, reply)
+}
+
+// pause waits, or returns the error of ctx if it ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/server/coordination/ownership/rank.go
+++ b/server/coordination/ownership/rank.go
@@ -61,9 +61,10 @@
 }
 
 // Ranks reports whether an entry has a place in the rank of its service. A dead node keeps its place, since its
-// key records were not handed over.
+// key records were not handed over. So does a node whose target is gone, until it has handed its records over and
+// is no longer eligible.
 func Ranks(e *endpoint.Entry) bool {
-	return e.Eligible && e.State != endpoint.Left && e.State != endpoint.NoTarget
+	return e.Eligible && e.State != endpoint.Left
 }
 
 // Place returns the owner of a key among the members of a service. issuedMS is 0 if the issue time is not known.
