--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -22,7 +22,7 @@
 		next, verdict := state.Apply(r)
 		state = next
 		l.counter.countResult(verdict.Result)
-		if verdict.Result == config.Accepted {
+		if verdict.Result == config.Accepted && r.TimeMS >= l.started.UnixMilli() {
 			l.installs.add(verdict.Version, r.TimeMS)
 		}
 		if verdict.Result == config.Blocked {
--- a/server/coordination/control/installs.go
+++ b/server/coordination/control/installs.go
@@ -19,8 +19,8 @@
 	LagMS int64 `json:"lag_ms"`
 }
 
-// installs remembers the last versions that came into force record by record; versions skipped by a snapshot are not
-// among them.
+// installs remembers the last versions that came into force record by record. Versions from before the start of the
+// process and those skipped by a snapshot are not among them.
 type installs struct {
 	mu   sync.Mutex
 	last []Install
--- a/server/coordination/follow/follow.go
+++ b/server/coordination/follow/follow.go
@@ -173,8 +173,12 @@
 	return true
 }
 
-// wait returns how long a read may wait: until the snapshot is due at the latest.
+// wait returns how long a read may wait: until the snapshot is due at the latest. The first read does not wait, so
+// that a node learns at its start how far the log reaches.
 func (f *Follower) wait() time.Duration {
+	if f.LastContact().IsZero() {
+		return 0
+	}
 	if f.dueSince.IsZero() {
 		return f.settings.PollWait
 	}
@@ -227,9 +231,9 @@
 	return batch, err
 }
 
-// seen tells the sink the highest offset of the log.
+// seen tells the sink the highest offset of the log; 0 if the log is empty.
 func (f *Follower) seen(next uint64) {
-	if next > 1 {
+	if next > 0 {
 		f.sink.HighestSeen(next - 1)
 	}
 }
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -264,13 +264,23 @@
 		Call:           d.trafficPool.Call,
 		Local:          d.executor.Execute,
 		MergeEntries:   d.control.MergeEntries,
-		Resolver:       d.keys,
+		Resolver:       resolver{d.keys},
 		Random:         rand.Uint64,
 		FirstAttemptID: uint64(d.started.UnixNano()),
 	})
 	return err
 }
 
+// resolver adapts the key manager to the ingress.
+type resolver struct {
+	keys *ownership.Manager
+}
+
+// Resolve finds out what became of an attempt whose reply was lost.
+func (r resolver) Resolve(ctx context.Context, address string, req *wire.Request) (*wire.Response, error) {
+	return r.keys.Resolve(ctx, req, address), nil
+}
+
 func (d *Daemon) buildServers() error {
 	r := rpc.NewServer()
 	background := context.Background()
--- a/standin/bench/fleet_test.go
+++ b/standin/bench/fleet_test.go
@@ -105,7 +105,7 @@
 func announce(f *fleet.Fleet, p fleet.Plan) {
 	body, _ := json.Marshal(map[string]any{
 		"service": p.Service, "address": p.Address(fleet.TargetPort), "slots": 18,
-		"started_ms": time.Now().UnixMilli(),
+		"start": time.Now().UTC().Format(time.RFC3339Nano),
 	})
 	_, _ = f.HTTP.Do("PUT", p.URL(fleet.AnnouncePort)+"/v1/target", map[string]string{"Content-Type": "application/json"}, body)
 }
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -13,10 +13,11 @@
 func main() {
 	var options demo.Options
 	cmd := &cobra.Command{
-		Use:          "demo",
-		Short:        "Run a small mesh, disturb it and check every request",
-		SilenceUsage: true,
-		RunE:         func(*cobra.Command, []string) error { return demo.Run(options) },
+		Use:           "demo",
+		Short:         "Run a small mesh, disturb it and check every request",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(*cobra.Command, []string) error { return demo.Run(options) },
 	}
 	cmd.Flags().StringVar(&options.Bin, "bin", "bin", "directory with the built programs")
 	cmd.Flags().BoolVar(&options.Hold, "hold", os.Getenv("HOLD") != "", "stay up until interrupted")
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -136,7 +136,7 @@
 	Labels     map[string]string `json:"labels,omitempty"`
 	HealthPath string            `json:"health_path"`
 	LoadPath   string            `json:"load_path"`
-	StartedMS  int64             `json:"started_ms"`
+	Start      string            `json:"start"`
 }
 
 func (t *Target) announcement() ([]byte, error) {
@@ -147,9 +147,9 @@
 		Labels:     t.options.Labels,
 		HealthPath: "/_health",
 		LoadPath:   "/_load",
-		StartedMS:  startedMS,
+		Start:      start,
 	})
 }
 
-// startedMS tells the node that a target which announces itself again is another process.
-var startedMS = time.Now().UnixMilli()
+// start tells the node that a target which announces itself again is another process.
+var start = time.Now().UTC().Format(time.RFC3339Nano)
