--- a/server/state/config/codec.go
+++ b/server/state/config/codec.go
@@ -32,6 +32,10 @@
 	return fmt.Sprintf("rule version %d is unknown to this build, which knows version %d", e.Rule, RuleVersion)
 }
 
+// recordMark is the first value of a record under every rule version. Without it a foreign record that happens to start
+// with a small number would pass for one of unknown rules and block every reader.
+const recordMark = "wf"
+
 // Shape limits of encoded data, checked before it is decoded: the decoder allocates by announced length and
 // skips unknown values recursively.
 const (
@@ -39,13 +43,13 @@
 	maxElements = 4096
 )
 
-// EncodeChange returns the record data of a change: the rule version, then the change as a map with sorted
+// EncodeChange returns the record data of a change: a mark, the rule version, then the change as a map with sorted
 // label keys. A zero Rule is encoded as RuleVersion. The error is a *TooLargeError if the data exceeds the limit.
 func EncodeChange(c Change) ([]byte, error) {
 	if c.Rule == 0 {
 		c.Rule = RuleVersion
 	}
-	data, err := encode(&c, uint64(c.Rule))
+	data, err := encode(&c, recordMark, uint64(c.Rule))
 	if err != nil {
 		return nil, fmt.Errorf("encode change: %w", err)
 	}
@@ -58,10 +62,9 @@
 // DecodeChange reads the data of a record. The error is an *UnknownRuleError, a *TooLargeError or wraps
 // ErrUndecodable.
 func DecodeChange(data []byte) (Change, error) {
-	r := bytes.NewReader(data)
-	rule, err := msgpack.NewDecoder(r).DecodeUint32()
-	if err != nil || rule == 0 {
-		return Change{}, fmt.Errorf("%w: no rule version", ErrUndecodable)
+	rule, body, err := recordHeader(data)
+	if err != nil {
+		return Change{}, err
 	}
 	if rule != RuleVersion {
 		return Change{}, &UnknownRuleError{Rule: rule}
@@ -70,25 +73,38 @@
 		return Change{}, &TooLargeError{Bytes: len(data), Max: limits.MaxRecordBytes}
 	}
 	c := Change{}
-	if err := decode(data[len(data)-r.Len():], &c); err != nil {
+	if err := decode(body, &c); err != nil {
 		return Change{}, err
 	}
 	c.Rule = rule
 	return c, nil
 }
 
-// encode writes the header numbers and then the value.
-func encode(v any, header ...uint64) ([]byte, error) {
+// recordHeader returns the rule version of a record and what follows it.
+func recordHeader(data []byte) (rule uint32, body []byte, err error) {
+	r := bytes.NewReader(data)
+	d := msgpack.NewDecoder(r)
+	code, err := d.PeekCode()
+	if err != nil || !msgpcode.IsFixedString(code) {
+		return 0, nil, fmt.Errorf("%w: no mark", ErrUndecodable)
+	}
+	mark, err := d.DecodeString()
+	if err != nil || mark != recordMark {
+		return 0, nil, fmt.Errorf("%w: no mark", ErrUndecodable)
+	}
+	if rule, err = d.DecodeUint32(); err != nil || rule == 0 {
+		return 0, nil, fmt.Errorf("%w: no rule version", ErrUndecodable)
+	}
+	return rule, data[len(data)-r.Len():], nil
+}
+
+// encode writes the header values and then the value itself.
+func encode(v any, header ...any) ([]byte, error) {
 	var buf bytes.Buffer
 	e := msgpack.NewEncoder(&buf)
 	e.SetSortMapKeys(true)
 	e.UseCompactInts(true)
-	for _, n := range header {
-		if err := e.EncodeUint(n); err != nil {
-			return nil, err
-		}
-	}
-	if err := e.Encode(v); err != nil {
+	if err := e.EncodeMulti(append(header, v)...); err != nil {
 		return nil, err
 	}
 	return buf.Bytes(), nil
--- a/server/state/config/snapshot.go
+++ b/server/state/config/snapshot.go
@@ -49,7 +49,7 @@
 	for _, t := range s.tombstones {
 		out.Tombstones = append(out.Tombstones, lastChange{t.kind, t.name, t.change})
 	}
-	data, err := encode(&out, snapshotFormat, uint64(s.rule), s.offset)
+	data, err := encode(&out, uint64(snapshotFormat), uint64(s.rule), s.offset)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
