--- a/server/coordination/follow/snapshot.go
+++ b/server/coordination/follow/snapshot.go
@@ -85,7 +85,12 @@
 		f.logger.WithFields(log.Fields{"record": r.Offset, "error": err}).Warn("snapshot in the log is not usable")
 		return newestSnapshot{}
 	}
-	return newestSnapshot{offset: offset, time: time.UnixMilli(r.TimeMS), data: r.Data}
+	// A log whose clock is ahead must not make a snapshot look younger than it is.
+	stored := time.UnixMilli(r.TimeMS)
+	if now := time.Now(); stored.After(now) {
+		stored = now
+	}
+	return newestSnapshot{offset: offset, time: stored, data: r.Data}
 }
 
 // restore installs the newest snapshot if it is above the sink's offset and the log keeps every record after it.
