--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -86,7 +86,7 @@
 
 // answerOwn refutes a foreign value of the own entry.
 func (l *Loop) answerOwn(seen endpoint.Entry, now time.Time) {
-	answer := membership.Refute(l.self.Key, seen.Key)
+	answer := membership.Refute(&l.self, &seen)
 	if !answer.Refute {
 		return
 	}
@@ -94,6 +94,7 @@
 	l.self.Key = answer.Key
 	if answer.DeclaredDead {
 		l.self.Eligible = false
+		l.self.Rejoined = l.self.Revision
 		l.notify.post(func() { l.notify.dead = true })
 	}
 	l.table.Merge(l.self, "", now)
--- /dev/null
+++ b/server/coordination/control/cluster_test.go
@@ -0,0 +1,289 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/coordination/membership"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// cluster is a set of loops that are connected in memory, with a log that followers read.
+type cluster struct {
+	t     *testing.T
+	mu    sync.Mutex
+	nodes map[string]*node
+	log   []config.Record
+	// logDown and cut say what is not reachable.
+	logDown bool
+	cut     func(from, to *node) bool
+	wg      sync.WaitGroup
+	random  *rand.Rand
+}
+
+type node struct {
+	cluster      *cluster
+	name, domain string
+	loop         *Loop
+	syncer       *fanout.Syncer
+	cancel       context.CancelFunc
+	rejoined     atomic.Int64
+}
+
+// jitter is seeded, so that runs differ only in the order in which goroutines ask.
+func (c *cluster) jitter(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.random.Int64N(int64(d)))
+}
+
+func (c *cluster) settings() Settings {
+	return Settings{
+		Rules:              membership.Rules{SuspectAfter: time.Second, DeadAfter: 5 * time.Second, SelfFence: 4 * time.Second},
+		Shape:              fanout.Shape{Mode: fanout.ModeTree, FollowersPerDomain: 2, RelayChildren: 3},
+		SyncHold:           time.Second,
+		CoalesceWindow:     20 * time.Millisecond,
+		SyncAdmissionRate:  50,
+		ReconnectJitter:    500 * time.Millisecond,
+		KeyRetention:       10 * time.Minute,
+		DeltaWindowRecords: 1024,
+		Jitter:             c.jitter,
+		StartGrace:         2 * time.Second,
+	}
+}
+
+func newCluster(t *testing.T) *cluster {
+	return &cluster{
+		t:      t,
+		nodes:  make(map[string]*node),
+		cut:    func(_, _ *node) bool { return false },
+		random: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+// start runs members nodes in each failure domain.
+func (c *cluster) start(domains, members int) {
+	for d := range domains {
+		for m := range members {
+			c.startNode(fmt.Sprintf("d%d-n%d", d, m), fmt.Sprintf("d%d", d))
+		}
+	}
+	c.wg.Go(func() { c.watch() })
+}
+
+func (c *cluster) startNode(name, domain string) *node {
+	ctx, cancel := context.WithCancel(c.t.Context())
+	self := endpoint.Entry{Node: name, Address: name, FailureDomain: domain, Service: "web", Eligible: true}
+	self.Key = endpoint.Key{Incarnation: time.Now().UnixNano(), State: endpoint.Alive}
+	n := &node{cluster: c, name: name, domain: domain, cancel: cancel}
+	n.loop = New(c.settings(), self)
+	hold, relay, follower := fanout.HoldTimes(time.Second, 4*time.Second)
+	n.syncer = fanout.NewSyncer(n, n.loop, fanout.Settings{
+		Hold: hold, RelayHold: relay, FollowerHold: follower,
+		ReconnectJitter: 500 * time.Millisecond, CallSlack: 2 * time.Second, ProbeInterval: time.Second,
+		RetryMax: 5 * time.Second, Jitter: c.jitter, Seeds: []string{"d0-n0", "d0-n1", "d1-n0"},
+	})
+	n.loop.OnRoles(n.syncer.SetRoles)
+	n.loop.OnAhead(n.syncer.Pull)
+	n.loop.OnDeclaredDead(func() { n.rejoined.Add(1) })
+	c.mu.Lock()
+	c.nodes[name] = n
+	c.mu.Unlock()
+	c.wg.Go(func() { n.loop.Run(ctx) })
+	c.wg.Go(func() { n.syncer.Run(ctx) })
+	c.wg.Go(func() { n.followLog(ctx) })
+	return n
+}
+
+func (c *cluster) kill(n *node) {
+	c.mu.Lock()
+	delete(c.nodes, n.name)
+	c.mu.Unlock()
+	n.cancel()
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.list() {
+		c.kill(n)
+	}
+	c.wg.Wait()
+}
+
+func (c *cluster) list() []*node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []*node
+	for _, n := range c.nodes {
+		list = append(list, n)
+	}
+	slices.SortFunc(list, func(a, b *node) int { return bytes.Compare([]byte(a.name), []byte(b.name)) })
+	return list
+}
+
+func (c *cluster) find(match func(*node) bool) *node {
+	for _, n := range c.list() {
+		if match(n) {
+			return n
+		}
+	}
+	c.t.Fatal("no such node")
+	return nil
+}
+
+// followLog delivers the log to a node while its roles ask for it.
+func (n *node) followLog(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(30 * time.Millisecond)
+		n.cluster.mu.Lock()
+		log, down := n.cluster.log, n.cluster.logDown
+		n.cluster.mu.Unlock()
+		if down || !n.loop.Roles().ReadsLog {
+			continue
+		}
+		n.loop.HighestSeen(uint64(len(log)))
+		if at := n.loop.Offset(); at < uint64(len(log)) {
+			n.loop.DeliverRecords(log[at:])
+		}
+	}
+}
+
+// Call passes a sync to another node through gob, as net/rpc does. A cut link is silent for a second.
+func (n *node) Call(ctx context.Context, address, _ string, args, reply any) error {
+	silent := errors.New("silent")
+	time.Sleep(time.Millisecond)
+	n.cluster.mu.Lock()
+	to, cut := n.cluster.nodes[address], n.cluster.cut
+	n.cluster.mu.Unlock()
+	if to == nil {
+		return errors.New("connection refused")
+	}
+	if cut(n, to) {
+		time.Sleep(time.Second)
+		return silent
+	}
+	var received wire.SyncArgs
+	transcode(n.cluster.t, args, &received)
+	r, err := to.loop.HandleSync(ctx, &received)
+	time.Sleep(time.Millisecond)
+	n.cluster.mu.Lock()
+	cut = n.cluster.cut
+	n.cluster.mu.Unlock()
+	if err != nil || cut(to, n) {
+		return errors.Join(err, silent)
+	}
+	transcode(n.cluster.t, r, reply)
+	return nil
+}
+
+func transcode(t *testing.T, from, to any) {
+	var buffer bytes.Buffer
+	if err := errors.Join(gob.NewEncoder(&buffer).Encode(from), gob.NewDecoder(&buffer).Decode(to)); err != nil {
+		t.Error(err)
+	}
+}
+
+// watch checks what must hold in every view at any time: offsets and versions never fall, and every route and the
+// services that it names are in the same view.
+func (c *cluster) watch() {
+	seen := make(map[*node]uint64)
+	for c.t.Context().Err() == nil {
+		list := c.list()
+		if len(list) == 0 {
+			return
+		}
+		for _, n := range list {
+			v := n.loop.View()
+			assert.Check(c.t, v.Offset >= seen[n], "%s went back from %d to %d", n.name, seen[n], v.Offset)
+			seen[n] = v.Offset
+			for _, route := range v.Content.Routes {
+				for _, d := range route.Destinations {
+					_, known := v.ByService[d.Service]
+					assert.Check(c.t, known, "%s has a route to the unknown service %s", n.name, d.Service)
+				}
+			}
+		}
+		time.Sleep(7 * time.Millisecond)
+	}
+}
+
+// settle waits until a condition holds on every node and reports whether it did within a virtual time.
+func (c *cluster) settle(limit time.Duration, ok func(*node) bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if !slices.ContainsFunc(c.list(), func(n *node) bool { return !ok(n) }) {
+			return true
+		}
+	}
+	for i, n := range c.list() {
+		if !ok(n) && i < 3 {
+			c.t.Logf("%s: offset %d, ready %v, roles %+v, counters %+v", n.name, n.loop.Offset(), n.loop.View().Ready, n.loop.Roles(), n.loop.Counters())
+		}
+	}
+	return false
+}
+
+// append adds records to the log: services and routes to them, in turn.
+func (c *cluster) append(count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range count {
+		c.log = append(c.log, record(uint64(len(c.log))+1))
+	}
+}
+
+func record(offset uint64) config.Record {
+	change := config.Change{Rule: config.RuleVersion, ID: fmt.Sprintf("c%d", offset), Base: offset - 1}
+	name := fmt.Sprintf("s%d", (offset+1)/2)
+	if offset == 1 {
+		name = "web"
+	}
+	change.Op, change.Service = config.OpPutService, &config.Service{Name: name}
+	if offset > 2 && offset%2 == 0 {
+		change.Op, change.Service = config.OpPutRoute, nil
+		change.Route = &config.Route{
+			Name: name, Caller: config.AnyCaller, PathPrefix: "/" + name + "/",
+			Destinations: []config.Destination{{Service: name, Weight: 1}},
+		}
+	}
+	data, err := msgpack.Marshal(change)
+	if err != nil {
+		panic(err)
+	}
+	return config.Record{Offset: offset, Data: data}
+}
+
+// sees reports whether a node is ready at an offset and believes exactly so many nodes to be live.
+func sees(offset uint64, live int) func(*node) bool {
+	return func(n *node) bool {
+		v := n.loop.View()
+		return v.Ready && v.Offset == offset && n.count(endpoint.Alive) == live
+	}
+}
+
+// count returns the number of entries in a state that a node sees.
+func (n *node) count(state endpoint.State) int {
+	count := 0
+	for _, e := range n.loop.View().Nodes {
+		if e.State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// isChild reports whether a node is neither follower nor relay.
+func isChild(n *node) bool { return !n.loop.Roles().Relay }
--- /dev/null
+++ b/server/coordination/control/control_test.go
@@ -0,0 +1,262 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// run starts a cluster in virtual time, waits until all nodes know each other, and runs a test on it.
+func run(t *testing.T, domains, members int, test func(*testing.T, *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.append(4)
+		c.start(domains, members)
+		defer c.stop()
+		assert.Assert(t, c.settle(time.Minute, sees(4, domains*members)), "the cluster did not form")
+		test(t, c)
+	})
+}
+
+// Guards against a record or an entry that does not reach every node over follower and relay, in either direction.
+func TestConvergence(t *testing.T) {
+	run(t, 2, 9, func(t *testing.T, c *cluster) {
+		child := c.find(isChild)
+		child.loop.UpdateSelf(func(e *endpoint.Entry) { e.State = endpoint.Draining })
+		c.append(2)
+		arrived := func(n *node) bool {
+			return n.loop.View().Nodes[child.name].State == endpoint.Draining && n.loop.Offset() == 6
+		}
+		assert.Assert(t, c.settle(3*time.Second, arrived))
+		for _, n := range c.list() {
+			assert.Assert(t, n.loop.ContactAge() < 4*time.Second, "%s fenced itself", n.name)
+			assert.Equal(t, n.loop.Counters().DeclaredDead, int64(0))
+		}
+	})
+}
+
+// Guards against contact ages that fence nodes of a fleet in which nothing fails, and false suspicion there.
+func TestQuietFleet(t *testing.T) {
+	run(t, 2, 9, func(t *testing.T, c *cluster) {
+		worst := time.Duration(0)
+		for range 3000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, n := range c.list() {
+				worst = max(worst, n.loop.ContactAge())
+			}
+		}
+		assert.Assert(t, worst < 4*time.Second, "contact age reached %s", worst)
+		for _, n := range c.list() {
+			assert.Equal(t, n.loop.Counters().Suspected, int64(0), n.name)
+		}
+	})
+}
+
+// Guards against children that stay with a dead parent, a death that nobody notices, and verdicts on the survivors,
+// whichever role the dead nodes have.
+func TestDeath(t *testing.T) {
+	cases := []struct {
+		name   string
+		victim func(*node) bool
+	}{
+		{"child", isChild},
+		{"relay", func(n *node) bool { r := n.loop.Roles(); return r.Relay && !r.Follower }},
+		{"follower", func(n *node) bool { return n.loop.Roles().Rank == 1 }},
+		{"both followers", func(n *node) bool { return n.domain == "d0" && n.loop.Roles().Follower }},
+		{"all relays", func(n *node) bool { return n.domain == "d0" && n.loop.Roles().Relay }},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, 2, 9, func(t *testing.T, c *cluster) {
+				var victims []*node
+				for _, n := range c.list() {
+					if test.victim(n) {
+						victims = append(victims, n)
+					}
+				}
+				for _, n := range victims {
+					c.kill(n)
+				}
+				c.append(2)
+				assert.Assert(t, c.settle(time.Minute, sees(6, 18-len(victims))))
+				for _, n := range c.list() {
+					assert.Equal(t, n.rejoined.Load(), int64(0), "%s was declared dead", n.name)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a restarted node that becomes ready on an old or empty configuration, and against entries of the
+// previous processes that outlast the restart.
+func TestHerdRestart(t *testing.T) {
+	run(t, 2, 9, func(t *testing.T, c *cluster) {
+		old := c.list()
+		for _, n := range old {
+			c.kill(n)
+		}
+		c.append(20)
+		c.logDown = true
+		for _, n := range old {
+			c.startNode(n.name, n.domain)
+		}
+		time.Sleep(20 * time.Second)
+		for _, n := range c.list() {
+			assert.Assert(t, !n.loop.View().Ready, "%s is ready without the log", n.name)
+		}
+		c.logDown = false
+		ready := func(n *node) bool { v := n.loop.View(); return !v.Ready || v.Offset == 24 }
+		for range 1000 {
+			assert.Assert(t, c.settle(time.Second, ready))
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, c.settle(time.Minute, sees(24, 18)))
+	})
+}
+
+// Guards against death verdicts on a failure domain that is only cut off, against a side that loses its version, and
+// against sides that do not meet again. The log is on the side of d0.
+func TestPartitionBetweenDomains(t *testing.T) {
+	run(t, 2, 6, func(t *testing.T, c *cluster) {
+		c.cut = func(from, to *node) bool { return from.domain != to.domain }
+		time.Sleep(time.Minute)
+		for _, n := range c.list() {
+			assert.Equal(t, n.loop.Counters().DeclaredDead, int64(0))
+		}
+		child := c.find(isChild)
+		child.loop.UpdateSelf(func(e *endpoint.Entry) { e.Slots = 5 })
+		time.Sleep(time.Second)
+		c.cut = func(_, _ *node) bool { return false }
+		c.append(2)
+		healed := func(n *node) bool { return sees(6, 12)(n) && n.loop.View().Nodes[child.name].Slots == 5 }
+		assert.Assert(t, c.settle(time.Minute, healed))
+	})
+}
+
+// Guards against the two sides of a split failure domain that declared each other dead and never meet again, and
+// against a node that learns of its death without being told to rejoin.
+func TestSplitInsideDomain(t *testing.T) {
+	run(t, 1, 8, func(t *testing.T, c *cluster) {
+		side := func(n *node) bool { return n.name < "d0-n4" }
+		c.cut = func(from, to *node) bool { return side(from) != side(to) }
+		assert.Assert(t, c.settle(time.Minute, func(n *node) bool { return n.count(endpoint.Dead) == 4 }))
+		c.cut = func(_, _ *node) bool { return false }
+		assert.Assert(t, c.settle(time.Minute, sees(4, 8)))
+		for _, n := range c.list() {
+			assert.Assert(t, n.rejoined.Load() > 0 && !n.loop.View().Nodes[n.name].Eligible, n.name)
+		}
+	})
+}
+
+// Guards against a parent that never gets what only its child holds, and children of a new version that wait for it.
+func TestChildAheadOfParent(t *testing.T) {
+	run(t, 2, 9, func(t *testing.T, c *cluster) {
+		c.logDown = true
+		c.find(isChild).loop.DeliverRecords([]config.Record{record(5), record(6)})
+		assert.Assert(t, c.settle(time.Minute, sees(6, 18)))
+	})
+}
+
+// Guards against a node that stays behind when the window of its parent does not reach back to its offset.
+func TestSnapshotBeyondWindow(t *testing.T) {
+	run(t, 1, 6, func(t *testing.T, c *cluster) {
+		c.append(40)
+		assert.Assert(t, c.settle(time.Minute, sees(44, 6)))
+		for _, n := range c.list() {
+			assert.NilError(t, n.loop.do(t.Context(), func() { n.loop.window.reset(n.loop.Offset()) }))
+		}
+		c.logDown = true
+		late := c.startNode("d0-late", "d0")
+		assert.Assert(t, c.settle(time.Minute, sees(44, 7)))
+		assert.Equal(t, late.loop.State().Content().Services[0].Name, "web")
+	})
+}
+
+// Guards against a process that was paused, did not hear the polls, and declares its children dead when it wakes.
+func TestPausedLoop(t *testing.T) {
+	run(t, 1, 6, func(t *testing.T, c *cluster) {
+		paused := c.find(func(n *node) bool { return n.loop.Roles().Follower })
+		assert.NilError(t, paused.loop.do(t.Context(), func() { time.Sleep(30 * time.Second) }))
+		assert.Assert(t, paused.loop.ContactAge() > 4*time.Second, "the woken node is not fenced")
+		assert.Assert(t, c.settle(time.Minute, sees(4, 6)))
+		assert.Equal(t, paused.loop.Counters().DeclaredDead, int64(0))
+		assert.Equal(t, paused.rejoined.Load(), int64(1))
+	})
+}
+
+// Guards against a state that depends on the order in which deliveries arrive, or that moves back.
+func TestCrossedDeliveries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		var log []config.Record
+		for offset := range uint64(30) {
+			log = append(log, record(offset+1))
+		}
+		c := newCluster(t)
+		source, target := c.startNode("a", "d1"), c.startNode("b", "d2")
+		defer c.stop()
+		var snapshots [][]byte
+		for i := range log {
+			source.loop.DeliverRecords(log[i : i+1])
+			_, data, err := source.loop.EncodeSnapshot()
+			assert.NilError(t, err)
+			snapshots = append(snapshots, data)
+		}
+		for target.loop.Offset() < 30 {
+			before := target.loop.Offset()
+			// A delivery starts at or before the offset that the receiver had when it asked.
+			from := random.Uint64N(before + 1)
+			target.loop.DeliverRecords(log[from:min(30, from+random.Uint64N(6))])
+			if random.IntN(4) == 0 {
+				assert.NilError(t, target.loop.RestoreSnapshot(snapshots[random.Uint64N(before+1)%30]))
+			}
+			assert.Assert(t, target.loop.Offset() >= before)
+		}
+		assert.DeepEqual(t, target.loop.State().Content(), source.loop.State().Content())
+		assert.NilError(t, target.loop.WaitOffset(t.Context(), 30))
+	})
+}
+
+// Guards against a fold that skips a record of a newer rule version and goes on with later ones.
+func TestBlockedRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		n := c.startNode("a", "d1")
+		defer c.stop()
+		unknown := config.Record{Offset: 2, Data: []byte("\x81\xa4rule\x63")}
+		n.loop.DeliverRecords([]config.Record{record(1), unknown, record(3)})
+		n.loop.DeliverRecords([]config.Record{record(3)})
+		assert.Equal(t, n.loop.Offset(), uint64(1))
+		assert.Equal(t, n.loop.Counters().Blocked, int64(1))
+	})
+}
+
+// Guards against a parent that admits a reconnect storm at once, or refuses a child that it already has.
+func TestAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		n := c.startNode("a", "d1")
+		defer c.stop()
+		refused := 0
+		for i := range 80 {
+			args := &wire.SyncArgs{Node: string(rune('b' + i))}
+			reply, err := n.loop.HandleSync(t.Context(), args)
+			assert.NilError(t, err)
+			if reply.RetryAfterMS > 0 {
+				refused++
+				continue
+			}
+			reply, err = n.loop.HandleSync(t.Context(), args)
+			assert.Assert(t, err == nil && reply.RetryAfterMS == 0)
+		}
+		assert.Equal(t, refused, 30)
+		assert.Equal(t, n.loop.Counters().AdmissionRefused, int64(30))
+	})
+}
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -70,6 +70,9 @@
 // New returns a loop for a node. self is the node's own entry at its start.
 func New(settings Settings, self endpoint.Entry) *Loop {
 	now := time.Now()
+	if settings.Jitter == nil {
+		settings.Jitter = fanout.RandomPart
+	}
 	l := &Loop{
 		settings:    settings,
 		instance:    now.UnixNano(),
--- a/server/coordination/control/settings.go
+++ b/server/coordination/control/settings.go
@@ -49,6 +49,8 @@
 	// SyncAdmissionRate limits new pollers per second; ReconnectJitter spreads those that were refused.
 	SyncAdmissionRate float64
 	ReconnectJitter   time.Duration
+	// Jitter returns a random part of a duration; nil means an unseeded source.
+	Jitter func(time.Duration) time.Duration
 	// KeyRetention is how long dead and left entries are kept.
 	KeyRetention time.Duration
 	// DeltaWindowRecords is the number of recent records kept for children.
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"wagtailford.example/server/coordination/fanout"
@@ -94,7 +94,7 @@
 // retryAfter spreads pollers that were refused over one to two times ReconnectJitter.
 func (l *Loop) retryAfter() time.Duration {
 	base := max(l.settings.ReconnectJitter, time.Millisecond)
-	return base + rand.N(base)
+	return base + l.settings.Jitter(base)
 }
 
 // noteAhead asks for a sync in the other direction if the poller has a higher offset.
@@ -287,17 +287,40 @@
 // News returns a channel that is closed when there is something new to pass on.
 func (l *Loop) News() <-chan struct{} { return l.news.wait() }
 
-// Probes lists the nodes of the own failure domain that a follower asks now and then: those declared dead, which may
-// be on the other side of a healed split.
-func (l *Loop) Probes() []fanout.Peer {
-	if !l.roles.Load().Follower {
+// Probes lists the nodes that a follower asks now and then although it does not sync with them.
+func (l *Loop) Probes(seeds []string) []fanout.Peer {
+	roles := l.roles.Load()
+	if !roles.Follower {
 		return nil
 	}
+	nodes := l.view.Load().Nodes
+	known := map[string]bool{nodes[l.node].Address: true}
 	var peers []fanout.Peer
-	for _, e := range l.view.Load().Nodes {
-		if e.State == endpoint.Dead && e.FailureDomain == l.domain {
+	for _, e := range nodes {
+		if e.Live() {
+			known[e.Address] = true
+		}
+		if e.Node != l.node && e.FailureDomain == l.domain && (e.State == endpoint.Dead || misplaced(e, nodes, roles)) {
 			peers = append(peers, fanout.Peer{Node: e.Node, Address: e.Address})
 		}
 	}
+	for _, address := range seeds {
+		if !known[address] {
+			peers = append(peers, fanout.Peer{Address: address})
+		}
+	}
 	return peers
 }
+
+// misplaced reports whether a live node acts on other roles than this node would give it, or syncs with a node that
+// is not known to live. It may belong to a tree of nodes that do not know this one.
+func misplaced(e *endpoint.Entry, nodes map[string]*endpoint.Entry, roles *fanout.Roles) bool {
+	if !e.Live() {
+		return false
+	}
+	if e.Parent == "" || slices.Contains(roles.Followers, e.Node) {
+		return (e.Parent == "") != slices.Contains(roles.Followers, e.Node)
+	}
+	parent := nodes[e.Parent]
+	return parent == nil || !parent.Live()
+}
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,18 +22,26 @@
 	acknowledged uint64
 }
 
+// linkKey identifies a link. Polls between failure domains and probes pass on no entries of others, so what they have
+// delivered is counted apart.
+type linkKey struct {
+	peer Peer
+	own  bool
+}
+
 // link returns the position for a peer. A position survives a change of roles, so that a return to an earlier parent
 // does not transfer the whole table again.
-func (s *Syncer) link(p Peer) *link {
+func (s *Syncer) link(p Peer, relation Relation) *link {
+	key := linkKey{peer: p, own: relation == ToRemote || relation == ToProbe}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.links[p]
+	l := s.links[key]
 	if l == nil {
 		if len(s.links) >= maxLinks {
 			clear(s.links)
 		}
 		l = &link{}
-		s.links[p] = l
+		s.links[key] = l
 	}
 	return l
 }
@@ -132,19 +140,20 @@
 	return reply, nil
 }
 
-// probeLoop asks seeds while no other node is known, nodes believed dead now and then, and nodes that Pull names.
-// Without probes, the two sides of a failure domain that was split and declared each other dead would never meet.
+// probeLoop asks seeds while no other node is known, the nodes that the sink wants probed, and nodes that Pull names.
+// Without probes, groups of nodes that started from different seeds would stay apart, and so would the sides of a
+// failure domain that was split and declared each other dead.
 func (s *Syncer) probeLoop(ctx context.Context) {
-	sleep(ctx, jitter(s.settings.ReconnectJitter))
+	sleep(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 	for ctx.Err() == nil {
 		if s.sink.Alone() {
 			s.askSeeds(ctx)
-		} else if probes := s.sink.Probes(); len(probes) > 0 {
-			s.askOnce(ctx, probes[rand.IntN(len(probes))])
+		} else if probes := s.sink.Probes(s.seedList()); len(probes) > 0 {
+			s.askOnce(ctx, probes[int(s.settings.Jitter(time.Duration(len(probes))))])
 		}
-		wait := s.settings.ProbeInterval/2 + jitter(s.settings.ProbeInterval)
+		wait := s.settings.ProbeInterval/2 + s.settings.Jitter(s.settings.ProbeInterval)
 		if s.sink.Alone() {
-			wait = s.settings.ReconnectJitter/2 + jitter(s.settings.ReconnectJitter)
+			wait = s.settings.ReconnectJitter/2 + s.settings.Jitter(s.settings.ReconnectJitter)
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -153,28 +162,36 @@
 		case p := <-s.pulls:
 			s.askOnce(ctx, p)
 			// A peer that stays ahead is asked again only after a pause.
-			sleep(ctx, jitter(s.settings.ReconnectJitter))
+			sleep(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 		}
 		timer.Stop()
 	}
 }
 
-// askSeeds asks the seeds in random order until one answers.
+// askSeeds asks the seeds, from a random one on, until one answers.
 func (s *Syncer) askSeeds(ctx context.Context) {
-	s.mu.Lock()
-	seeds := append([]string(nil), s.seeds...)
-	s.mu.Unlock()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	for _, address := range seeds {
+	seeds := s.seedList()
+	if len(seeds) == 0 {
+		return
+	}
+	first := int(s.settings.Jitter(time.Duration(len(seeds))))
+	for i := range seeds {
+		address := seeds[(first+i)%len(seeds)]
 		if ctx.Err() != nil || s.askOnce(ctx, Peer{Address: address}) {
 			return
 		}
 	}
 }
 
+func (s *Syncer) seedList() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.seeds)
+}
+
 // askOnce syncs once without waiting at the other end and reports whether it answered.
 func (s *Syncer) askOnce(ctx context.Context, peer Peer) bool {
-	reply, err := s.sync(ctx, &link{}, peer, ToProbe, 0)
+	reply, err := s.sync(ctx, s.link(peer, ToProbe), peer, ToProbe, 0)
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/server/coordination/fanout/roles_test.go
@@ -0,0 +1,101 @@
+package fanout
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+var shape = Shape{Mode: ModeTree, FollowersPerDomain: 2, RelayChildren: 24}
+
+func fleet(domains, members int) []*endpoint.Entry {
+	var list []*endpoint.Entry
+	for d := range domains {
+		for m := range members {
+			name := fmt.Sprintf("d%d-n%d", d, m)
+			list = append(list, &endpoint.Entry{Node: name, Address: name + ":1", FailureDomain: fmt.Sprintf("d%d", d)})
+		}
+	}
+	return list
+}
+
+func reachable(string) bool { return false }
+
+// Guards against members that choose different followers, relays without a follower as parent, parents that are no
+// relays, and relays with far more children than the setting.
+func TestChooseAtFullSize(t *testing.T) {
+	all := fleet(7, 116)
+	roles := make(map[string]Roles)
+	children := make(map[string]int)
+	for _, e := range all {
+		r := Choose(e, all, reachable, shape)
+		roles[e.Node] = r
+		children[r.Parent().Node]++
+	}
+	followers, relays := 0, 0
+	for _, e := range all {
+		r := roles[e.Node]
+		for _, f := range r.Followers {
+			assert.Assert(t, roles[f].Follower, "%s is no follower in its own view", f)
+		}
+		if r.Relay {
+			relays++
+		}
+		if r.Follower {
+			followers++
+			assert.Equal(t, len(r.Remote), 6)
+			assert.Assert(t, roles[r.Ring.Node].Follower && r.Ring.Node != e.Node)
+			continue
+		}
+		parent, second := roles[r.Parents[0].Node], roles[r.Parents[1].Node]
+		assert.Assert(t, parent.Relay && second.Relay && r.Parents[0] != r.Parents[1])
+		assert.Assert(t, !r.Relay || parent.Follower)
+		assert.Assert(t, !r.ReadsLog)
+	}
+	assert.Equal(t, followers, 7*2)
+	assert.Equal(t, relays, 7*5)
+	for node, n := range children {
+		assert.Assert(t, node == "" || n <= 2*shape.RelayChildren, "%s has %d children", node, n)
+	}
+}
+
+// Guards against dead, departed or unreachable nodes that keep a role, and against a node that finds none in a small
+// or empty fleet.
+func TestChooseFaults(t *testing.T) {
+	all := fleet(2, 4)
+	first := Choose(all[0], all, reachable, shape).Followers
+	cases := []struct {
+		name        string
+		state       endpoint.State
+		unreachable bool
+		kept        bool
+	}{
+		{"suspect", endpoint.Suspect, false, true},
+		{"dead", endpoint.Dead, false, false},
+		{"left", endpoint.Left, false, false},
+		{"unreachable", endpoint.Alive, true, false},
+	}
+	for _, c := range cases {
+		changed := fleet(2, 4)
+		var self *endpoint.Entry
+		for _, e := range changed {
+			if e.Node == first[0] {
+				e.State = c.state
+			} else if e.FailureDomain == "d0" {
+				self = e
+			}
+		}
+		r := Choose(self, changed, func(n string) bool { return c.unreachable && n == first[0] }, shape)
+		assert.Equal(t, r.Followers[0] == first[0], c.kept, c.name)
+	}
+	alone := Choose(all[0], all[:1], reachable, shape)
+	assert.Assert(t, alone.Follower && alone.ReadsLog && alone.Ring.Node == "" && len(alone.Remote) == 0)
+	flat := shape
+	flat.Mode = ModeFlat
+	for _, e := range all {
+		assert.Assert(t, Choose(e, all, reachable, flat).ReadsLog)
+	}
+}
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -75,8 +75,9 @@
 	News() <-chan struct{}
 	// Alone reports whether the node knows no other live node.
 	Alone() bool
-	// Probes lists nodes that a follower asks now and then although they are believed dead.
-	Probes() []Peer
+	// Probes lists nodes outside this node's sync paths that it asks now and then: members that seem to belong to
+	// another tree, or to be dead, and those of the seeds that it does not know. Empty unless it is a follower.
+	Probes(seeds []string) []Peer
 }
 
 // Settings are the times of the sync loops.
@@ -92,6 +93,8 @@
 	ProbeInterval time.Duration
 	// RetryMax is the longest wait between attempts.
 	RetryMax time.Duration
+	// Jitter returns a random part of a duration; nil means an unseeded source.
+	Jitter func(time.Duration) time.Duration
 	// Seeds are addresses to ask while no other node is known.
 	Seeds []string
 }
@@ -113,11 +116,14 @@
 
 	mu    sync.Mutex
 	seeds []string
-	links map[Peer]*link
+	links map[linkKey]*link
 }
 
 // NewSyncer returns a syncer without roles.
 func NewSyncer(caller Caller, sink Sink, settings Settings) *Syncer {
+	if settings.Jitter == nil {
+		settings.Jitter = RandomPart
+	}
 	return &Syncer{
 		caller:   caller,
 		sink:     sink,
@@ -125,7 +131,7 @@
 		roles:    make(chan Roles, 1),
 		pulls:    make(chan Peer, 1),
 		seeds:    settings.Seeds,
-		links:    make(map[Peer]*link),
+		links:    make(map[linkKey]*link),
 	}
 }
 
@@ -239,7 +245,7 @@
 func (s *Syncer) follow(ctx context.Context, peers []Peer, relation Relation, hold time.Duration) {
 	waits := backoff.NewExponentialBackOff()
 	waits.MaxInterval = s.settings.RetryMax
-	sleep(ctx, jitter(s.settings.ReconnectJitter))
+	sleep(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 	for i := 0; ctx.Err() == nil; i++ {
 		peer := peers[i%len(peers)]
 		if s.pollUntilFailure(ctx, peer, relation, hold) {
@@ -249,7 +255,7 @@
 			return
 		}
 		s.sink.SyncFailed(peer, relation)
-		wait := jitter(s.settings.ReconnectJitter)
+		wait := s.settings.Jitter(s.settings.ReconnectJitter)
 		if i%len(peers) == len(peers)-1 {
 			wait += waits.NextBackOff()
 		}
@@ -259,7 +265,7 @@
 
 // pollUntilFailure polls one peer until a call fails, and reports whether any call succeeded.
 func (s *Syncer) pollUntilFailure(ctx context.Context, peer Peer, relation Relation, hold time.Duration) bool {
-	l := s.link(peer)
+	l := s.link(peer, relation)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answered := false
@@ -284,7 +290,7 @@
 	for {
 		news := s.sink.News()
 		if _, err := s.push(ctx, l, peer, relation); err != nil {
-			sleep(ctx, s.settings.ReconnectJitter/2+jitter(s.settings.ReconnectJitter))
+			sleep(ctx, s.settings.ReconnectJitter/2+s.settings.Jitter(s.settings.ReconnectJitter))
 			if ctx.Err() != nil {
 				return
 			}
@@ -298,8 +304,8 @@
 	}
 }
 
-// jitter returns a random part of d.
-func jitter(d time.Duration) time.Duration {
+// RandomPart returns a random part of d.
+func RandomPart(d time.Duration) time.Duration {
 	if d <= 0 {
 		return 0
 	}
--- a/server/coordination/membership/membership.go
+++ b/server/coordination/membership/membership.go
@@ -94,18 +94,20 @@
 	DeclaredDead bool
 }
 
-// Refute compares the owner's key with a value of its entry that it received from others.
-func Refute(own, seen endpoint.Key) Refutation {
-	if seen.Compare(own) <= 0 {
-		return Refutation{Key: own}
-	}
-	answer := Refutation{Key: own, Refute: true}
-	answer.DeclaredDead = seen.State == endpoint.Dead && seen.Incarnation == own.Incarnation
-	if seen.Incarnation > own.Incarnation {
+// Refute compares the owner's entry with a value of it that came from others. A death verdict on an older revision
+// counts too, unless the owner has answered it: others have acted on it.
+func Refute(own, seen *endpoint.Entry) Refutation {
+	answer := Refutation{Key: own.Key}
+	answer.DeclaredDead = seen.State == endpoint.Dead && seen.Incarnation == own.Incarnation &&
+		seen.Revision >= own.Rejoined
+	answer.Refute = answer.DeclaredDead || seen.Key.Compare(own.Key) > 0
+	switch {
+	case !answer.Refute:
+	case seen.Incarnation > own.Incarnation:
 		answer.Key.Incarnation = Incarnation(own.Incarnation, seen.Incarnation)
-		return answer
+	default:
+		answer.Key.Revision = max(own.Revision, seen.Revision) + 1
 	}
-	answer.Key.Revision = seen.Revision + 1
 	return answer
 }
 
--- a/server/state/endpoint/table.go
+++ b/server/state/endpoint/table.go
@@ -18,10 +18,21 @@
 // Live reports whether the node is believed to run: it is neither dead nor has it left.
 func (e *Entry) Live() bool { return e.State < Dead }
 
-// supersedes reports whether e replaces other. Two verdicts on the same revision differ only in the time of death;
-// the later one wins, since it keeps more keys from running twice.
-func (e *Entry) supersedes(other *Entry) bool {
-	return cmp.Or(e.Key.Compare(other.Key), cmp.Compare(e.DiedMS, other.DiedMS)) > 0
+// Join returns the value that follows from two values of one entry: the one with the larger key. A death verdict
+// also holds against later revisions until the owner has answered it: others have acted on the death, so the owner
+// must learn of it and join its service again before it owns keys. Of two times of death the later one is kept, since
+// it lets fewer keys pass to other nodes.
+func Join(a, b Entry) Entry {
+	high, low := a, b
+	if a.Key.Compare(b.Key) < 0 {
+		high, low = b, a
+	}
+	if high.Incarnation != low.Incarnation || low.State != Dead || high.State == Left || low.Revision < high.Rejoined {
+		return high
+	}
+	high.State = Dead
+	high.DiedMS = max(high.DiedMS, low.DiedMS)
+	return high
 }
 
 // row is an entry as stored in a table.
@@ -44,15 +55,22 @@
 	return &Table{rows: make(map[string]*row), retention: retention}
 }
 
-// Merge stores e if it is newer than the entry that the table has for the node, and reports whether it did. origin
-// names the node that delivered the entry; it is empty for an entry made by this node. An entry of a node that died
+// Merge joins e with the entry that the table has for the node and reports whether that changed the table. origin
+// names the node that delivered e; it is empty for an entry made by this node. An entry of a node that died
 // or left longer ago than the retention is ignored, so that peers cannot bring a removed entry back.
 func (t *Table) Merge(e Entry, origin string, now time.Time) bool {
 	old := t.rows[e.Node]
-	if old != nil && !e.supersedes(old.entry) {
-		return false
-	}
-	if old == nil && t.outdated(&e, now, now) {
+	if old != nil {
+		delivered := e.Key
+		e = Join(*old.entry, e)
+		if e.Key == old.entry.Key && e.DiedMS == old.entry.DiedMS {
+			return false
+		}
+		if e.Key != delivered {
+			// The result is news to the node that delivered e, too.
+			origin = ""
+		}
+	} else if t.outdated(&e, now, now) {
 		return false
 	}
 	t.sequence++
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -61,6 +61,9 @@
 	Unclean bool
 	// DiedMS is the time of the death verdict or of the planned leave, Unix milliseconds; 0 in other states.
 	DiedMS int64
+	// Rejoined is the revision under which the owner answered the last death verdict of this incarnation; 0 if there
+	// was none.
+	Rejoined uint64
 	// StartedMS is the start time of the target, Unix milliseconds, for slow start.
 	StartedMS int64
 	// Parent is the node that this node syncs with; empty for a log follower.
