--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -17,14 +17,24 @@
 	Slots int
 	// Queue is the number of requests that may wait for a slot.
 	Queue int
-	// ExclusiveQueue is the number of suspects that may wait to run alone.
+	// ExclusiveQueue is the number of suspects that may wait to run alone; 0 means DefaultExclusiveQueue.
 	ExclusiveQueue int
 	// SlowStart is the age at which a target gets all its slots; 0 gives them at once.
 	SlowStart time.Duration
-	// ExclusiveWait limits how long slots stay empty while a suspect waits for the running requests to end.
+	// ExclusiveWait limits how long slots stay empty while a suspect waits for the running requests to end; 0 means
+	// DefaultExclusiveWait.
 	ExclusiveWait time.Duration
 }
 
+// Defaults of Settings.
+const (
+	// DefaultExclusiveQueue is small, since suspects run one after the other.
+	DefaultExclusiveQueue = 4
+	// DefaultExclusiveWait is longer than most requests take, so that a suspect is rarely refused, and short against
+	// the default timeout of a request, so that the others still run in time.
+	DefaultExclusiveWait = time.Second
+)
+
 // slowStartMinimum is the number of slots of a target that has just started. With one slot, a single long request
 // would hide the target for its whole duration.
 const slowStartMinimum = 2
@@ -76,6 +86,12 @@
 
 // New returns a state without requests, for a target that is not cold.
 func New(s Settings) *State {
+	if s.ExclusiveQueue == 0 {
+		s.ExclusiveQueue = DefaultExclusiveQueue
+	}
+	if s.ExclusiveWait == 0 {
+		s.ExclusiveWait = DefaultExclusiveWait
+	}
 	return &State{settings: s, slots: s.Slots}
 }
 
--- a/server/coordination/announce/announcer.go
+++ b/server/coordination/announce/announcer.go
@@ -25,14 +25,21 @@
 	DrainAnnounce time.Duration
 	// HealthInterval is the time between two polls of the health and load endpoints; 0 turns them off.
 	HealthInterval time.Duration
-	// ConnectInterval is the time between two attempts to connect to a starting target.
+	// ConnectInterval is the time between two attempts to connect to a starting target; 0 means
+	// DefaultConnectInterval.
 	ConnectInterval time.Duration
-	// RetryMax limits the wait between two attempts to join or leave.
+	// RetryMax limits the wait between two attempts to join or leave; 0 means DefaultRetryMax.
 	RetryMax time.Duration
 	// Slots is the number of slots of a target that announces none.
 	Slots int
 }
 
+// Defaults of Settings.
+const (
+	DefaultConnectInterval = 100 * time.Millisecond
+	DefaultRetryMax        = 5 * time.Second
+)
+
 // Runner runs requests at the target. *execute.Executor implements it.
 type Runner interface {
 	SetTarget(execute.Target)
@@ -108,6 +115,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("set up announcer: %w", err)
 	}
+	if s.ConnectInterval == 0 {
+		s.ConnectInterval = DefaultConnectInterval
+	}
+	if s.RetryMax == 0 {
+		s.RetryMax = DefaultRetryMax
+	}
 	a := &Announcer{settings: s, deps: d, client: client}
 	a.stopped, a.stop = context.WithCancel(context.Background())
 	a.current.Store(&Lifecycle{})
@@ -137,18 +150,30 @@
 	if an.Slots == 0 {
 		an.Slots = a.settings.Slots
 	}
+	a.Counters.Announcements.Add(1)
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	if err := a.acceptable(an); err != nil {
+		defer a.mu.Unlock()
+		return a.life.Phase, err
+	}
+	publish := a.step(Event{Kind: EventAnnounced, Announcement: an})
+	a.armLease()
+	phase := a.life.Phase
+	a.mu.Unlock()
+	a.publishIf(publish)
+	return phase, nil
+}
+
+// acceptable returns the error that refuses an announcement.
+func (a *Announcer) acceptable(an Announcement) error {
 	if a.life.Stopping {
-		return a.life.Phase, ErrShutdown
+		return ErrShutdown
 	}
-	if a.life.Phase != Unannounced && a.life.Announcement.Service != "" && a.life.Announcement.Service != an.Service {
-		return a.life.Phase, &ServiceChangeError{Current: a.life.Announcement.Service, Announced: an.Service}
+	current := a.life.Announcement.Service
+	if a.life.Phase != Unannounced && current != "" && current != an.Service {
+		return &ServiceChangeError{Current: current, Announced: an.Service}
 	}
-	a.Counters.Announcements.Add(1)
-	a.step(Event{Kind: EventAnnounced, Announcement: an})
-	a.armLease()
-	return a.life.Phase, nil
+	return nil
 }
 
 // armLease sets the timer that ends the announcement.
@@ -162,16 +187,21 @@
 // TargetCrashed marks the target as down until it announces itself again.
 func (a *Announcer) TargetCrashed() { a.event(EventCrashed) }
 
-func (a *Announcer) event(kind EventKind) {
+// event applies an event and returns the state after it.
+func (a *Announcer) event(kind EventKind) Lifecycle {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.step(Event{Kind: kind})
+	publish := a.step(Event{Kind: kind})
+	next := a.life
+	a.mu.Unlock()
+	a.publishIf(publish)
+	return next
 }
 
-// step applies an event and starts what follows from it. The lock is held.
-func (a *Announcer) step(e Event) {
+// step applies an event and starts what follows from it, except for the publication: it reports whether the caller has
+// to publish after it released the lock.
+func (a *Announcer) step(e Event) bool {
 	if a.stopped.Err() != nil {
-		return
+		return false
 	}
 	e.At = time.Now()
 	before := a.life
@@ -186,12 +216,8 @@
 		a.leaveStarting()
 		a.leaveStarting = nil
 	}
-	if effects&EffectPublish != 0 {
-		// The publication is its own goroutine's order of business: it publishes the latest state.
-		a.work.Go(a.publish)
-	}
 	if effects&EffectConnect != 0 {
-		a.startConnect(next.Announcement.Address)
+		a.startConnect()
 	}
 	if effects&EffectJoin != 0 {
 		a.startJoin()
@@ -199,6 +225,7 @@
 	if effects&EffectDrain != 0 {
 		a.startDrain()
 	}
+	return effects&EffectPublish != 0
 }
 
 // report logs a change of phase and counts it.
@@ -231,9 +258,12 @@
 	}
 }
 
-// publish writes the target into the entry of the node.
-func (a *Announcer) publish() {
-	a.deps.UpdateSelf(func(e *endpoint.Entry) { fillEntry(e, a.Lifecycle()) })
+// publishIf writes the target into the entry of the node. The entry gets the latest state, so that two publications
+// that overtake each other do no harm.
+func (a *Announcer) publishIf(changed bool) {
+	if changed {
+		a.deps.UpdateSelf(func(e *endpoint.Entry) { fillEntry(e, a.Lifecycle()) })
+	}
 }
 
 // fillEntry sets the fields of the entry that describe the target. A node without a target keeps no service, so it is
@@ -259,13 +289,13 @@
 }
 
 // startConnect waits in the background until the target accepts connections.
-func (a *Announcer) startConnect(address string) {
+func (a *Announcer) startConnect() {
 	ctx, cancel := context.WithCancel(a.stopped)
 	a.leaveStarting = cancel
 	a.work.Go(func() {
 		dialer := net.Dialer{Timeout: pollTimeout}
 		for {
-			conn, err := dialer.DialContext(ctx, "tcp", address)
+			conn, err := dialer.DialContext(ctx, "tcp", a.Lifecycle().Announcement.Address)
 			if err == nil {
 				conn.Close()
 				a.connected(ctx)
@@ -281,10 +311,9 @@
 // connected reports a connection unless the wait for it was given up.
 func (a *Announcer) connected(ctx context.Context) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if ctx.Err() == nil {
-		a.step(Event{Kind: EventConnected})
-	}
+	publish := ctx.Err() == nil && a.step(Event{Kind: EventConnected})
+	a.mu.Unlock()
+	a.publishIf(publish)
 }
 
 // startJoin joins in the background.
--- a/server/coordination/announce/drain.go
+++ b/server/coordination/announce/drain.go
@@ -14,10 +14,7 @@
 	if undrain {
 		kind = EventUndrain
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.step(Event{Kind: kind})
-	return a.life.State()
+	return a.event(kind).State()
 }
 
 // Withdraw drains the target that leaves, and returns when nothing is in flight.
@@ -32,8 +29,8 @@
 }
 
 func (a *Announcer) drainAndWait(ctx context.Context, kind EventKind) error {
+	a.event(kind)
 	a.mu.Lock()
-	a.step(Event{Kind: kind})
 	drained := a.drained
 	a.mu.Unlock()
 	if drained == nil {
@@ -67,10 +64,9 @@
 	})
 }
 
-// drain publishes the state, refuses new work when that had time to spread, hands the key records over and waits for
-// the requests in flight. It returns an error if the announcer was closed.
+// drain refuses new work when the draining state had time to spread, hands the key records over and waits for the
+// requests in flight. It returns an error if the announcer was closed.
 func (a *Announcer) drain(closed bool) error {
-	a.publish()
 	if !closed && !sleep(a.stopped, a.settings.DrainAnnounce) {
 		return ErrShutdown
 	}
@@ -85,8 +81,8 @@
 func (a *Announcer) finishDrain(drained chan struct{}) {
 	a.mu.Lock()
 	a.drained = nil
-	a.step(Event{Kind: EventDrained})
+	publish := a.step(Event{Kind: EventDrained})
 	a.mu.Unlock()
-	a.publish()
+	a.publishIf(publish)
 	close(drained)
 }
--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -24,6 +24,9 @@
 // connections and its listener one after the other, so the first attempt may still be accepted.
 var probeDelays = []time.Duration{0, 10 * time.Millisecond, 40 * time.Millisecond}
 
+// probeTimeout limits one connection attempt. A local target that is alive accepts at once unless its backlog is full.
+const probeTimeout = 100 * time.Millisecond
+
 // flight is a request that may be at the target.
 type flight struct {
 	digest     uint64
@@ -41,8 +44,7 @@
 
 // crashes attributes crashes of the target to the requests in flight.
 type crashes struct {
-	limits      suspect.Limits
-	dialTimeout time.Duration
+	limits suspect.Limits
 	// changed is called after the counts changed.
 	changed func()
 	probes  singleflight.Group
@@ -55,8 +57,8 @@
 	broken     []*flight
 }
 
-func newCrashes(l suspect.Limits, dialTimeout time.Duration, changed func()) *crashes {
-	c := &crashes{limits: l, dialTimeout: dialTimeout, changed: changed, flights: make(map[*flight]struct{})}
+func newCrashes(l suspect.Limits, changed func()) *crashes {
+	c := &crashes{limits: l, changed: changed, flights: make(map[*flight]struct{})}
 	c.counts.Store(&suspect.Counts{})
 	return c
 }
@@ -108,7 +110,7 @@
 		c.broken = c.broken[1:]
 	}
 	c.mu.Unlock()
-	refusing, _, _ := c.probes.Do(address, func() (any, error) { return c.probe(address), nil })
+	refusing, _, _ := c.probes.Do(address, func() (any, error) { return probe(address), nil })
 	if !refusing.(bool) {
 		return verdict{}
 	}
@@ -169,10 +171,10 @@
 }
 
 // probe reports whether the address refuses connections.
-func (c *crashes) probe(address string) bool {
+func probe(address string) bool {
 	for _, delay := range probeDelays {
 		time.Sleep(delay)
-		conn, err := net.DialTimeout("tcp", address, c.dialTimeout)
+		conn, err := net.DialTimeout("tcp", address, probeTimeout)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return true
 		}
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -124,7 +124,7 @@
 		pool:     pool,
 		target:   Target{Refuse: outcome.ReasonNoTarget},
 	}
-	e.crashes = newCrashes(s.Suspects, s.Client.DialTimeout, e.publishCrashes)
+	e.crashes = newCrashes(s.Suspects, e.publishCrashes)
 	return e, nil
 }
 
@@ -310,6 +310,10 @@
 	if r.Key == "" {
 		return e.run(ctx, r, digest, alone)
 	}
+	if reason := e.Target().Refuse; reason != outcome.ReasonNone {
+		// The drain began while the request was queued, and its key may have been handed over.
+		return refused(reason)
+	}
 	run, finish, answer := e.deps.Keys.Begin(ctx, r)
 	if !run {
 		return answer
--- a/server/coordination/execute/headers.go
+++ b/server/coordination/execute/headers.go
@@ -84,7 +84,7 @@
 }
 
 func isValue(s string) bool {
-	return strings.IndexAny(s, "\r\n\x00") < 0
+	return !strings.ContainsAny(s, "\r\n\x00")
 }
 
 // connectionHeaders returns the header names that the values of Connection declare as hop-by-hop.
--- a/server/coordination/execute/receiver.go
+++ b/server/coordination/execute/receiver.go
@@ -4,9 +4,7 @@
 	"context"
 	"sync"
 
-	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
-	"wagtailford.example/server/state/endpoint"
 )
 
 // Receiver serves the net/rpc service wire.ServiceNode.
@@ -73,77 +71,3 @@
 		(*cancel)()
 	}
 }
-
-// ReasonCounts counts by reason. The number of reasons is fixed by package outcome. The zero value is ready to use.
-type ReasonCounts struct {
-	mu     sync.Mutex
-	counts map[outcome.Reason]int64
-}
-
-// Add counts one event.
-func (c *ReasonCounts) Add(reason outcome.Reason) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.counts == nil {
-		c.counts = make(map[outcome.Reason]int64)
-	}
-	c.counts[reason]++
-}
-
-// Load returns a copy of the counts.
-func (c *ReasonCounts) Load() map[outcome.Reason]int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	counts := make(map[outcome.Reason]int64, len(c.counts))
-	for reason, n := range c.counts {
-		counts[reason] = n
-	}
-	return counts
-}
-
-// Dump is the state of an Executor. Its size is bounded by the number of reasons and of crash counts.
-type Dump struct {
-	Target        Target
-	Active        int
-	InUse         int64
-	Queued        int64
-	ServiceTimeMS float64
-	Workers       int
-	Admitted      int64
-	Answered      int64
-	Unknown       int64
-	Cancelled     int64
-	Refused       map[outcome.Reason]int64
-	Crashes       int64
-	CrashCounts   []endpoint.CrashCount
-	Blocked       int64
-}
-
-// Dump returns the state of the executor.
-func (e *Executor) Dump() any {
-	e.mu.Lock()
-	target := e.target
-	active := e.active
-	e.mu.Unlock()
-	return Dump{
-		Target:        target,
-		Active:        active,
-		InUse:         e.Gate.InUse.Load(),
-		Queued:        e.Gate.Queued.Load(),
-		ServiceTimeMS: e.Gate.ServiceTime().Seconds() * 1000,
-		Workers:       e.pool.Running(),
-		Admitted:      e.Counters.Admitted.Load(),
-		Answered:      e.Counters.Answered.Load(),
-		Unknown:       e.Counters.Unknown.Load(),
-		Cancelled:     e.Counters.Cancelled.Load(),
-		Refused:       e.Counters.Refused.Load(),
-		Crashes:       e.Counters.Crashes.Load(),
-		CrashCounts:   e.crashes.own(),
-		Blocked:       e.Counters.SuspectsBlocked.Load(),
-	}
-}
-
-// Results returns how many requests the target answered and how many ended with an unknown outcome.
-func (e *Executor) Results() (answered, lost int64) {
-	return e.Counters.Answered.Load(), e.Counters.Unknown.Load()
-}
--- a/server/state/suspect/suspect.go
+++ b/server/state/suspect/suspect.go
@@ -66,6 +66,9 @@
 		next[i].ExpiresMS = expires
 		return next
 	}
+	if l.Max <= 0 {
+		return next
+	}
 	if len(next) >= l.Max {
 		next = next.dropLeast()
 	}
