--- a/server/coordination/ingress/fault_test.go
+++ b/server/coordination/ingress/fault_test.go
@@ -11,6 +11,7 @@
 
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/state/view"
 )
@@ -93,21 +94,32 @@
 	}
 }
 
-// TestGeneratedKeyBelongsToItsTarget guards that the node that gets a request is the owner of its generated key;
-// otherwise every such request would be redirected.
+// TestGeneratedKeyBelongsToItsTarget guards that the node that gets a request is the owner of its generated key, or
+// every such request would be redirected, and that the key alone leads to the same service again.
 func TestGeneratedKeyBelongsToItsTarget(t *testing.T) {
-	f := &fakeNet{react: script(answered("ok"))}
+	f := &fakeNet{react: script(answered("ok")), view: threeMembers()}
+	route := &f.view.Content.Routes[0]
+	route.Destinations = append(route.Destinations, config.Destination{Service: "atelier", Weight: 1})
+	for _, node := range []string{"x", "y"} {
+		e := member(node)
+		e.Service = "atelier"
+		f.view.ByService["atelier"] = append(f.view.ByService["atelier"], e)
+	}
 	h := newTestHandler(t, f, nil)
 	for range 200 {
 		result := h.Do(t.Context(), request("POST"))
 		assert.Equal(t, describe(result), "answered/")
 	}
+	services := make(map[string]bool)
 	for i, r := range f.sent {
-		j := &job{h: h, view: f.view}
-		owner := j.place(r.Service, r.Key, r.KeyIssuedMS).Owner
+		again := &job{h: h, view: f.view, route: route, keyFixed: true, request: wire.Request{Key: r.Key, KeyIssuedMS: r.KeyIssuedMS}}
+		owner, _ := again.ownerOfKey()
 		assert.Equal(t, f.to[i], owner.Address)
+		assert.Equal(t, r.Service, owner.Service)
 		assert.Assert(t, r.KeyFromMesh && r.KeyIssuedMS > 0)
+		services[r.Service] = true
 	}
+	assert.Equal(t, len(services), 2)
 	assert.Equal(t, h.Counters().KeyMissed.Load(), int64(0))
 	assert.NilError(t, h.Shutdown(t.Context()))
 }
