Pass bodies through the ingress unchanged

Cause: hertz writes multipart bodies anew and replaces an empty body with status 404. Change: parsing is switched off and empty bodies are set as streams. Measured: TestBodiesPassUnchanged fails without the change (a field of a multipart part is moved) and passes with it.

--- a/server/coordination/ingress/concurrent_test.go
+++ b/server/coordination/ingress/concurrent_test.go
@@ -118,6 +118,36 @@
 	assert.Equal(t, values.Unknown, int64(1))
 }
 
+// TestBodiesPassUnchanged guards against the HTTP library: it writes a multipart body anew, puts its own text in place
+// of an empty body with status 404, and states the length 0 in a response to HEAD.
+func TestBodiesPassUnchanged(t *testing.T) {
+	url, _ := serve(t, func(_ context.Context, r *wire.Request, reply *wire.Response) error {
+		*reply = wire.Response{Outcome: outcome.Answered, Status: 404, Body: r.Body, Headers: []wire.Header{{Name: "Content-Length", Value: "17"}}}
+		return nil
+	}, nil)
+	multipart := "--b\r\nX-Order: 1\r\nContent-Disposition: form-data; name=\"a\"\r\n\r\n1\r\n--b--\r\n"
+	for _, c := range []struct {
+		method, contentType, body string
+		length                    int64
+	}{
+		{"POST", "multipart/form-data; boundary=b", multipart, int64(len(multipart))},
+		{"PUT", "", "", 0},
+		{"PURGE", "", "", 0},
+		{"HEAD", "", "", 17},
+	} {
+		req, _ := http.NewRequest(c.method, url+"/shop", strings.NewReader(c.body))
+		req.Header.Set("Content-Type", c.contentType)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), c.body)
+		assert.Equal(t, resp.ContentLength, c.length, c.method)
+		assert.Equal(t, resp.Header.Get("Wagtail-Outcome"), "answered")
+	}
+}
+
 // TestDisconnectCancels guards that the executing node learns that the caller has gone.
 func TestDisconnectCancels(t *testing.T) {
 	canceled := make(chan struct{})
--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -14,8 +14,12 @@
 	"wagtailford.example/server/protocol/wire"
 )
 
-// Register makes a server hand every request to the handler.
+// Register makes a server that does not run yet hand every request to the handler.
 func (h *Handler) Register(s *server.Hertz) {
+	options := s.GetOptions()
+	// The library would parse a multipart body and write it anew, with other bytes than the caller sent.
+	options.DisablePreParseMultipartForm = true
+	options.NoDefaultServerHeader = true
 	s.Use(h.Serve)
 }
 
@@ -57,8 +61,7 @@
 		for _, field := range forwarded(r.Headers, responseDropped) {
 			header.Add(field.Name, field.Value)
 		}
-		c.Response.SetBodyRaw(r.Body)
-		keepHeadLength(c, r)
+		setBody(c, r)
 		header.Set(outcome.HeaderOutcome, r.Outcome.String())
 		return
 	}
@@ -74,18 +77,29 @@
 	c.Response.SetBodyString(r.Outcome.String() + ": " + string(r.Reason) + "\n")
 }
 
-// keepHeadLength passes on the length that a target states in its response to HEAD, which has no body to measure.
-func keepHeadLength(c *app.RequestContext, r *Result) {
-	if string(c.Request.Method()) != "HEAD" || len(r.Body) > 0 {
+// setBody passes the body on. An empty one is set as a stream, because the library puts its own text in place of an
+// empty body with status 404 otherwise.
+func setBody(c *app.RequestContext, r *Result) {
+	if len(r.Body) > 0 {
+		c.Response.SetBodyRaw(r.Body)
 		return
 	}
-	for _, field := range r.Headers {
+	length := 0
+	if string(c.Request.Method()) == "HEAD" {
+		length = statedLength(r.Headers)
+	}
+	c.Response.SetBodyStream(bytes.NewReader(nil), length)
+}
+
+// statedLength is the length that a target states in its response to HEAD, which has no body to measure.
+func statedLength(headers []wire.Header) int {
+	for _, field := range headers {
 		if !strings.EqualFold(field.Name, "Content-Length") {
 			continue
 		}
-		if length, err := strconv.Atoi(field.Value); err == nil && length >= 0 {
-			c.Response.SkipBody = true
-			c.Response.Header.SetContentLength(length)
+		if length, err := strconv.Atoi(field.Value); err == nil && length > 0 {
+			return length
 		}
 	}
+	return 0
 }
