Let baselines and simulations import what they compare

Cause: the layer test refused server/internal/baseline, which measures decisions of coordination. Change: internal may import product layers; rows show that no product layer may import internal, so the check is as strict as before.

--- a/server/internal/layers/layers_test.go
+++ b/server/internal/layers/layers_test.go
@@ -25,7 +25,8 @@
 	"protocol":     {"transport", "state"},
 	"transport":    {},
 	"state":        {},
-	"internal":     {},
+	// Baselines and simulations call the decisions that they compare; nothing that ships may import them.
+	"internal": {"coordination", "protocol", "transport", "state"},
 }
 
 // forbidden returns the reason why a package directory must not import a path; empty if it may.
@@ -84,6 +85,9 @@
 		{"coordination/control", module + "daemon", true},
 		{"cmd/wagtaild", module + "state/config", true},
 		{"extra", module + "state/config", true},
+		{"coordination/routing", module + "internal/baseline", true},
+		{"daemon", module + "internal/policysim", true},
+		{"internal/baseline", module + "daemon", true},
 		{"protocol/wire", module + "state/config", false},
 		{"coordination/control", module + "coordination/fanout", false},
 		{"state/view", module + "state/config", false},
