Guard silence, labels and server limits of the ingress

Cause: the library's own 413 and 431 state no outcome; silence and labels had no test. Change: Register raises the server's limits above the handler's; tests for silence until the deadline, labels after a redirect, the local executor, and oversized requests over HTTP. TestFaults always stops its handler, so a failed check is no longer hidden by a deadlock report.

--- a/server/coordination/ingress/concurrent_test.go
+++ b/server/coordination/ingress/concurrent_test.go
@@ -34,7 +34,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := httpserver.New(l, httpserver.Limits{
-		BodyMaxBytes: 4 << 20, HeaderMaxBytes: 64 << 10, ConnectionsMax: 256,
+		BodyMaxBytes: 1 << 20, HeaderMaxBytes: 16 << 10, ConnectionsMax: 256,
 		ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute, ShutdownTimeout: time.Second,
 	})
 	h.Register(s)
@@ -102,8 +102,13 @@
 		{"GET", "/shop", "503", "refused-not-run", "queue_full", "1"},
 		{"GET", "/none", "404", "refused-not-run", "no_route", ""},
 		{"POST", "/shop", "504", "unknown", "owner_unreachable", ""},
+		{"PUT", "/shop", "413", "refused-not-run", "too_large", ""},
+		{"GET", "/shop?" + strings.Repeat("x", 20<<10), "431", "refused-not-run", "header_too_large", ""},
 	} {
 		req, _ := http.NewRequest(c.method, url+c.path, nil)
+		if c.method == "PUT" {
+			req.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 3<<19)))
+		}
 		resp, err := http.DefaultClient.Do(req)
 		assert.NilError(t, err)
 		resp.Body.Close()
--- a/server/coordination/ingress/fault_test.go
+++ b/server/coordination/ingress/fault_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -14,6 +15,7 @@
 	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/state/view"
+	"wagtailford.example/server/transport/peer"
 )
 
 func deadMember(node string) *endpoint.Entry {
@@ -79,6 +81,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeNet{view: fault.view, react: script(fault.react...), resolve: fault.resolve}
 				h := newTestHandler(t, f, nil)
+				defer h.Shutdown(context.Background())
 				result := h.Do(t.Context(), fault.request)
 				assert.Equal(t, describe(result), fault.want)
 				assert.Equal(t, outcome.HTTPStatus(result.Outcome, result.Reason, result.Status), fault.status)
@@ -88,7 +91,6 @@
 					assert.Assert(t, !seen[r.ID], "attempt id %d sent twice", r.ID)
 					seen[r.ID] = true
 				}
-				assert.NilError(t, h.Shutdown(context.Background()))
 			})
 		})
 	}
@@ -136,3 +138,44 @@
 	}
 	assert.NilError(t, h.Shutdown(t.Context()))
 }
+
+// TestSilence guards that a connection that stays silent ends the request soon after its deadline, as unknown.
+func TestSilence(t *testing.T) {
+	for method, want := range map[string]string{"GET": "unknown/deadline", "POST": "unknown/owner_unreachable"} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newTestHandler(t, &fakeNet{}, func(_ *Settings, deps *Dependencies) {
+				deps.Call = func(ctx context.Context, _, _ string, _, _ any) error {
+					<-ctx.Done()
+					return &peer.LostError{Cause: ctx.Err()}
+				}
+			})
+			defer h.Shutdown(context.Background())
+			start := time.Now()
+			result := h.Do(context.Background(), request(method, "Wagtail-Deadline-Ms", "2000"))
+			assert.Equal(t, describe(result), want)
+			assert.Equal(t, time.Since(start), 2*time.Second+answerGrace)
+		})
+	}
+}
+
+// TestLabels guards that a request with a generated key stays within the labels of its route, also after a redirect,
+// and that the target beside this node is called directly.
+func TestLabels(t *testing.T) {
+	a, self := member("a"), member("self")
+	self.Labels = map[string]string{"tier": "gold"}
+	v := testView(a, member("b"), self)
+	v.Content.Routes[0].Destinations[0].Labels = self.Labels
+	f := &fakeNet{view: v}
+	local := 0
+	h := newTestHandler(t, f, func(_ *Settings, deps *Dependencies) {
+		deps.Local = func(context.Context, *wire.Request) *wire.Response {
+			local++
+			return redirected("a").response
+		}
+	})
+	defer h.Shutdown(context.Background())
+	result := h.Do(t.Context(), request("POST"))
+	assert.Equal(t, describe(result), "refused-not-run/not_owner")
+	assert.Equal(t, local, 3)
+	assert.Equal(t, len(f.sent), 0)
+}
--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -14,9 +14,16 @@
 	"wagtailford.example/server/protocol/wire"
 )
 
-// Register makes a server that does not run yet hand every request to the handler.
+// serverLimitFactor is how far the limits of the server exceed those of the handler. What exceeds the server's limits
+// is answered by the library, which states no outcome.
+const serverLimitFactor = 2
+
+// Register makes a server that does not run yet hand every request to the handler, and raises its limits on body and
+// header to serverLimitFactor times those of the handler.
 func (h *Handler) Register(s *server.Hertz) {
 	options := s.GetOptions()
+	options.MaxRequestBodySize = serverLimitFactor * h.settings.BodyMaxBytes
+	options.MaxHeaderBytes = serverLimitFactor * h.settings.HeaderMaxBytes
 	// The library would parse a multipart body and write it anew, with other bytes than the caller sent.
 	options.DisablePreParseMultipartForm = true
 	options.NoDefaultServerHeader = true
