Let measured fleets have targets that accept connections

Cause: BenchmarkFleet saw 0 of 10 targets alive in 30 s, since a node takes an announced target for alive only once it accepts a connection. Change: the benchmark listens at every target address. Conclusion: the announcement rule stays as it is.

--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"os"
 
 	"wagtailford.example/standin/fleet"
@@ -38,6 +40,41 @@
 
 func serviceName(i int) string { return fmt.Sprintf("service-%02d", i) }
 
+// listenAsTargets accepts connections at the target address of every node and never answers, which is all that a
+// node needs to take an announced target for alive.
+func listenAsTargets(plans []fleet.Plan) (stop func(), err error) {
+	var listeners []net.Listener
+	stop = func() {
+		for _, l := range listeners {
+			l.Close()
+		}
+	}
+	for _, p := range plans {
+		l, err := net.Listen("tcp", p.Address(fleet.TargetPort))
+		if err != nil {
+			stop()
+			return nil, err
+		}
+		listeners = append(listeners, l)
+		go hold(l)
+	}
+	return stop, nil
+}
+
+// hold keeps accepted connections open until the other end closes them.
+func hold(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(io.Discard, conn)
+			conn.Close()
+		}()
+	}
+}
+
 // start starts a fleet in a temporary directory.
 func start(o fleet.Options) (*fleet.Fleet, error) {
 	dir, err := os.MkdirTemp("", "wagtailford-bench-")
--- a/standin/bench/fleet_test.go
+++ b/standin/bench/fleet_test.go
@@ -60,6 +60,11 @@
 				if err != nil {
 					b.Fatal(err)
 				}
+				stop, err := listenAsTargets(f.Plans)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer stop()
 				prepare(b, f)
 				b.Run("steady", func(b *testing.B) { measureSteady(b, f) })
 				b.Run("publish", func(b *testing.B) { measurePublish(b, f, func(<-chan struct{}) {}) })
