--- a/standin/bench/fleet_test.go
+++ b/standin/bench/fleet_test.go
@@ -21,10 +21,6 @@
 	benchServices = 6
 )
 
-// fleetSettings keep announcements alive for the whole measurement, since the benchmark announces once for each
-// target instead of running a process for it.
-const fleetSettings = "[target]\nannounce_lease = 10m\nhealth_interval = 10m\n"
-
 // fleetSizes returns the numbers of nodes to measure; the variable WAGTAILFORD_SIZES replaces them.
 func fleetSizes(b *testing.B) []int {
 	b.Helper()
@@ -55,12 +51,12 @@
 	for _, n := range fleetSizes(b) {
 		for _, v := range variants {
 			b.Run(fmt.Sprintf("nodes=%d/%s", n, v.name), func(b *testing.B) {
-				f, err := start(fleet.Options{Plans: plans(n, benchServices), Settings: fleetSettings + v.settings})
-				defer finish(f)
+				f, err := Start(fleet.Options{Plans: Plans(n, benchServices), Settings: TargetSettings + v.settings})
+				defer Finish(f)
 				if err != nil {
 					b.Fatal(err)
 				}
-				stop, err := listenAsTargets(f.Plans)
+				stop, err := ListenAsTargets(f.Plans)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -88,33 +84,12 @@
 
 func prepare(b *testing.B, f *fleet.Fleet) {
 	b.Helper()
-	for i := range benchServices {
-		name := serviceName(i)
-		mustCtl(b, f, "service", "create", name)
-		mustCtl(b, f, "route", "create", name, "--path-prefix", "/"+name, "--to", name)
+	if err := Configure(f, benchServices); err != nil {
+		b.Fatal(err)
 	}
-	announceAll(f, f.Plans)
 	waitTargets(b, f, len(f.Plans))
 }
 
-// announceAll announces a target at each node.
-func announceAll(f *fleet.Fleet, plans []fleet.Plan) {
-	var wg sync.WaitGroup
-	for _, p := range plans {
-		wg.Go(func() { announce(f, p) })
-	}
-	wg.Wait()
-}
-
-// announce announces a target that exists in name only.
-func announce(f *fleet.Fleet, p fleet.Plan) {
-	body, _ := json.Marshal(map[string]any{
-		"service": p.Service, "address": p.Address(fleet.TargetPort), "slots": 18,
-		"start": time.Now().UTC().Format(time.RFC3339Nano),
-	})
-	_, _ = f.HTTP.Do("PUT", p.URL(fleet.AnnouncePort)+"/v1/target", map[string]string{"Content-Type": "application/json"}, body)
-}
-
 func reportRates(b *testing.B, r fleet.Rates) {
 	b.ReportMetric(r.CPUMean, "cpu-%-mean")
 	b.ReportMetric(r.CPUMax, "cpu-%-max")
@@ -158,8 +133,8 @@
 	}
 	before := f.Sample()
 	for i := range publishCount {
-		mustCtl(b, f, "route", "update", serviceName(0), "--path-prefix", "/"+serviceName(0),
-			"--to", serviceName(0), "--max-attempts", strconv.Itoa(1+i%9))
+		mustCtl(b, f, "route", "update", ServiceName(0), "--path-prefix", "/"+ServiceName(0),
+			"--to", ServiceName(0), "--max-attempts", strconv.Itoa(1+i%9))
 		time.Sleep(publishPause)
 	}
 	time.Sleep(2 * time.Second)
@@ -204,7 +179,7 @@
 	for i := 0; ; i++ {
 		p := f.Plans[i%len(f.Plans)]
 		_, _ = f.HTTP.Do("DELETE", p.URL(fleet.AnnouncePort)+"/v1/target", nil, nil)
-		announce(f, p)
+		Announce(f, p)
 		select {
 		case <-stop:
 			return
@@ -235,7 +210,7 @@
 	if err := f.WaitReady(victim); err != nil {
 		b.Error(err)
 	}
-	announce(f, victim)
+	Announce(f, victim)
 }
 
 func lineHas(table, name, word string) bool {
@@ -265,7 +240,7 @@
 		}
 	}
 	newest := currentVersion(b, f)
-	mustCtl(b, f, "route", "update", serviceName(1), "--path-prefix", "/"+serviceName(1), "--to", serviceName(1), "--max-attempts", "2")
+	mustCtl(b, f, "route", "update", ServiceName(1), "--path-prefix", "/"+ServiceName(1), "--to", ServiceName(1), "--max-attempts", "2")
 	if err := f.WaitAllReady(); err != nil {
 		b.Error(err)
 	}
--- a/standin/bench/latency_test.go
+++ b/standin/bench/latency_test.go
@@ -25,11 +25,11 @@
 func twoNodes(b *testing.B) *fleet.Fleet {
 	b.Helper()
 	network := fleet.Network()
-	f, err := start(fleet.Options{WithTargets: true, Plans: []fleet.Plan{
+	f, err := Start(fleet.Options{WithTargets: true, Plans: []fleet.Plan{
 		{Name: "n1", Region: "r", FailureDomain: "d1", Service: "near", IP: network + ".1.1"},
 		{Name: "n2", Region: "r", FailureDomain: "d2", Service: "far", IP: network + ".1.2"},
 	}})
-	b.Cleanup(func() { finish(f) })
+	b.Cleanup(func() { Finish(f) })
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/standin/fleet/measure.go
+++ b/standin/fleet/measure.go
@@ -123,6 +123,8 @@
 	// CPUMean and CPUMax are percent of a core, BytesMean and BytesMax bytes per second of control traffic.
 	CPUMean, CPUMax     float64
 	BytesMean, BytesMax float64
+	// Busiest is the node with the most control traffic.
+	Busiest string
 	// ResidentMax and AnonymousMax are bytes at the second sample.
 	ResidentMax, AnonymousMax int64
 }
@@ -141,7 +143,9 @@
 		r.CPUMean += cpu / float64(len(b.Usage))
 		r.BytesMean += rate / float64(len(b.Usage))
 		r.CPUMax = max(r.CPUMax, cpu)
-		r.BytesMax = max(r.BytesMax, rate)
+		if rate > r.BytesMax {
+			r.BytesMax, r.Busiest = rate, name
+		}
 		r.ResidentMax = max(r.ResidentMax, after.Resident)
 		r.AnonymousMax = max(r.AnonymousMax, after.Anonymous)
 	}
