Publish the entry before joining; sharpen tests of admission and drain

Cause: TestDrainOrder showed that the hook Join could run before the entry named the service, so members would have received an entry without it. Two tests did not notice a broken version (drain that refuses at once, no turn for the requests behind a suspect). Change: the goroutines for join, connect and drain publish first; a closed announcer no longer reports an unfinished drain as ended; the tests wait and check what they missed; a test of the invariants of admission over 200 seeds.

--- a/server/coordination/admission/admission_test.go
+++ b/server/coordination/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,14 +64,67 @@
 	s.Arrive(epoch, 3, farAway, true)
 	verdict, _ = s.Arrive(epoch, 4, farAway, false)
 	assert.Equal(t, verdict, Queued, "a later request must not overtake a waiting suspect")
+	s.Arrive(epoch, 5, farAway, false)
 	assert.DeepEqual(t, s.Finish(epoch, epoch), []Action{{ID: 2}})
 	assert.Equal(t, s.InUse(), 1)
-	// The others have their turn before the next suspect.
-	assert.DeepEqual(t, s.Finish(epoch, epoch), []Action{{ID: 4}})
-	verdict, _ = s.Arrive(epoch, 5, farAway, false)
+	// All that waited have their turn before the next suspect.
+	assert.DeepEqual(t, s.Finish(epoch, epoch), []Action{{ID: 4}, {ID: 5}})
+	verdict, _ = s.Arrive(epoch, 6, farAway, false)
 	assert.Equal(t, verdict, Queued)
+	assert.Equal(t, len(s.Finish(epoch, epoch)), 0)
 	assert.DeepEqual(t, s.Finish(epoch, epoch), []Action{{ID: 3}})
-	assert.DeepEqual(t, s.Finish(epoch, epoch), []Action{{ID: 5}})
+	assert.DeepEqual(t, s.Finish(epoch, epoch), []Action{{ID: 6}})
+}
+
+// Guards against any order of events in which a suspect has company, slots are exceeded, a request is settled twice,
+// or one waits although nothing runs.
+func TestInvariants(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		s := New(testRule)
+		now := epoch
+		waiting := make(map[uint64]bool)
+		running := make(map[uint64]bool)
+		settle := func(actions []Action) {
+			for _, a := range actions {
+				exclusive, queued := waiting[a.ID]
+				assert.Assert(t, queued, "seed %d: request %d is settled and does not wait", seed, a.ID)
+				delete(waiting, a.ID)
+				if a.Reason == "" {
+					running[a.ID] = exclusive
+				}
+			}
+		}
+		for id := range uint64(300) {
+			now = now.Add(time.Duration(rng.Int64N(int64(time.Second))))
+			switch rng.IntN(4) {
+			case 0, 1:
+				exclusive := rng.IntN(3) == 0
+				deadline := now.Add(time.Duration(rng.Int64N(int64(10 * time.Second))))
+				verdict, _ := s.Arrive(now, id, deadline, exclusive)
+				if verdict == Granted {
+					running[id] = exclusive
+				} else if verdict == Queued {
+					waiting[id] = exclusive
+				}
+			case 2:
+				for id := range running {
+					delete(running, id)
+					settle(s.Finish(now, now))
+					break
+				}
+			case 3:
+				settle(s.Expire(now))
+			}
+			assert.Equal(t, s.InUse(), len(running), "seed %d", seed)
+			assert.Equal(t, s.Queued(), len(waiting), "seed %d", seed)
+			assert.Assert(t, len(running) <= testRule.Slots, "seed %d", seed)
+			for _, exclusive := range running {
+				assert.Assert(t, !exclusive || len(running) == 1, "seed %d: a suspect has company", seed)
+			}
+			assert.Assert(t, len(running) > 0 || len(waiting) == 0, "seed %d: a request waits for nothing", seed)
+		}
+	}
 }
 
 // Guards against long requests that keep slots empty for a waiting suspect.
--- a/server/coordination/announce/announce_test.go
+++ b/server/coordination/announce/announce_test.go
@@ -40,7 +40,7 @@
 		effect Effect
 	}{
 		{"announced", start[:1], Starting, endpoint.NoTarget, outcome.ReasonNoTarget, EffectConnect},
-		{"alive", start, Alive, endpoint.Alive, "", EffectPublish | EffectJoin},
+		{"alive", start, Alive, endpoint.Alive, "", EffectJoin},
 		{"starting expires", append(start[:1:1], at(EventTick, 5)), Unannounced, endpoint.NoTarget, outcome.ReasonNoTarget, 0},
 		{"lease holds", append(start[:2:2], at(EventTick, 4)), Alive, endpoint.Alive, "", 0},
 		{"expired", append(start[:2:2], at(EventTick, 5)), Down, endpoint.Alive, outcome.ReasonTargetDown, 0},
@@ -50,14 +50,14 @@
 			Alive, endpoint.Alive, "", EffectPublish,
 		},
 		{"renewed", append(start[:2:2], at(EventAnnounced, 3), at(EventTick, 5)), Alive, endpoint.Alive, "", 0},
-		{"draining spreads", append(start[:2:2], at(EventDrain, 2)), Draining, endpoint.Draining, "", EffectPublish | EffectDrain},
+		{"draining spreads", append(start[:2:2], at(EventDrain, 2)), Draining, endpoint.Draining, "", EffectDrain},
 		{
 			"draining", append(start[:2:2], at(EventDrain, 2), at(EventClosed, 2)),
 			Draining, endpoint.Draining, outcome.ReasonDraining, 0,
 		},
 		{
 			"draining a target that is down", append(start[:2:2], at(EventCrashed, 2), at(EventDrain, 2)),
-			Draining, endpoint.Draining, outcome.ReasonDraining, EffectPublish | EffectDrain,
+			Draining, endpoint.Draining, outcome.ReasonDraining, EffectDrain,
 		},
 		{
 			"drained, still announced", append(start[:2:2], at(EventDrain, 2), at(EventDrained, 3), at(EventAnnounced, 4)),
@@ -226,6 +226,7 @@
 		assert.Equal(t, f.entry.Slots, 18)
 
 		assert.Equal(t, f.Drain(false), endpoint.Draining)
+		synctest.Wait()
 		assert.Equal(t, f.log(), "state draining", "requests are taken until the state had time to spread")
 		time.Sleep(2 * time.Second)
 		announce()
--- a/server/coordination/announce/announcer.go
+++ b/server/coordination/announce/announcer.go
@@ -217,7 +217,8 @@
 		a.leaveStarting = nil
 	}
 	if effects&EffectConnect != 0 {
-		a.startConnect()
+		a.startConnect(effects&EffectPublish != 0)
+		return false
 	}
 	if effects&EffectJoin != 0 {
 		a.startJoin()
@@ -288,11 +289,13 @@
 	}
 }
 
-// startConnect waits in the background until the target accepts connections.
-func (a *Announcer) startConnect() {
+// startConnect waits in the background until the target accepts connections. It publishes first, so that the entry
+// shows the phases in their order.
+func (a *Announcer) startConnect(publish bool) {
 	ctx, cancel := context.WithCancel(a.stopped)
 	a.leaveStarting = cancel
 	a.work.Go(func() {
+		a.publishIf(publish)
 		dialer := net.Dialer{Timeout: pollTimeout}
 		for {
 			conn, err := dialer.DialContext(ctx, "tcp", a.Lifecycle().Announcement.Address)
@@ -311,9 +314,10 @@
 // connected reports a connection unless the wait for it was given up.
 func (a *Announcer) connected(ctx context.Context) {
 	a.mu.Lock()
-	publish := ctx.Err() == nil && a.step(Event{Kind: EventConnected})
-	a.mu.Unlock()
-	a.publishIf(publish)
+	defer a.mu.Unlock()
+	if ctx.Err() == nil {
+		a.step(Event{Kind: EventConnected})
+	}
 }
 
 // startJoin joins in the background.
@@ -326,6 +330,8 @@
 	}
 	a.work.Go(func() {
 		defer close(done)
+		// The other members get the entry with the request to join, so it has to name the service by then.
+		a.publishIf(true)
 		a.retry(ctx, "join", a.deps.Join)
 	})
 }
--- a/server/coordination/announce/drain.go
+++ b/server/coordination/announce/drain.go
@@ -54,6 +54,7 @@
 	a.leaveJoin = nil
 	closed := a.life.Closed
 	a.work.Go(func() {
+		a.publishIf(true)
 		if leaveJoin != nil {
 			leaveJoin()
 		}
@@ -80,6 +81,11 @@
 // finishDrain publishes the state after the drain before it wakes those who wait for it.
 func (a *Announcer) finishDrain(drained chan struct{}) {
 	a.mu.Lock()
+	if a.stopped.Err() != nil {
+		// Those who wait learn that from stopped; the drain is not over.
+		a.mu.Unlock()
+		return
+	}
 	a.drained = nil
 	publish := a.step(Event{Kind: EventDrained})
 	a.mu.Unlock()
--- a/server/coordination/announce/lifecycle.go
+++ b/server/coordination/announce/lifecycle.go
@@ -93,9 +93,9 @@
 	EffectPublish Effect = 1 << iota
 	// EffectConnect waits until the target accepts connections.
 	EffectConnect
-	// EffectJoin makes the node an owner of keys of the service.
+	// EffectJoin publishes the entry and then makes the node an owner of keys of the service.
 	EffectJoin
-	// EffectDrain starts the drain.
+	// EffectDrain publishes the entry and then drains.
 	EffectDrain
 )
 
@@ -179,7 +179,7 @@
 	}
 	l.Phase = Alive
 	l.Started = e.At
-	return l, EffectPublish | EffectJoin
+	return l, EffectJoin
 }
 
 func (l Lifecycle) tick(e Event) (Lifecycle, Effect) {
@@ -219,7 +219,7 @@
 	// Without a target that takes work there is nothing to announce before new work is refused.
 	l.Closed = l.Phase != Alive
 	l.Phase = Draining
-	return l, EffectPublish | EffectDrain
+	return l, EffectDrain
 }
 
 func (l Lifecycle) undrain(e Event) (Lifecycle, Effect) {
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -22,10 +22,11 @@
 // Limits bound a client in size, number and time.
 type Limits struct {
 	DialTimeout time.Duration
-	// ConnectionsPerHost limits the open connections to one host.
+	// ConnectionsPerHost limits the open connections to one host; 0 means the default.
 	ConnectionsPerHost int
 	// IdleTimeout is how long an idle connection is kept for reuse. It should be below the idle timeout of the
-	// server, so that a connection is not reused in the moment in which the server closes it.
+	// server, so that a connection is not reused in the moment in which the server closes it. With 0, every connection
+	// serves one request.
 	IdleTimeout time.Duration
 	// HeaderMaxBytes and BodyMaxBytes limit a response; 0 means the defaults.
 	HeaderMaxBytes int
@@ -33,8 +34,9 @@
 }
 
 const (
-	defaultHeaderMaxBytes = 64 << 10
-	defaultBodyMaxBytes   = 64 << 20
+	defaultConnectionsPerHost = 512
+	defaultHeaderMaxBytes     = 64 << 10
+	defaultBodyMaxBytes       = 64 << 20
 )
 
 // bodyUntilClose is the content length that hertz reports for a body that ends with the connection.
@@ -79,8 +81,11 @@
 
 // New returns a client with the given limits.
 func New(limits Limits) (*Client, error) {
-	if limits.ConnectionsPerHost <= 0 {
-		return nil, fmt.Errorf("set up HTTP client: connections per host is %d, must be above 0", limits.ConnectionsPerHost)
+	if limits.ConnectionsPerHost < 0 || limits.HeaderMaxBytes < 0 || limits.BodyMaxBytes < 0 {
+		return nil, fmt.Errorf("set up HTTP client: negative limit in %+v", limits)
+	}
+	if limits.ConnectionsPerHost == 0 {
+		limits.ConnectionsPerHost = defaultConnectionsPerHost
 	}
 	if limits.HeaderMaxBytes == 0 {
 		limits.HeaderMaxBytes = defaultHeaderMaxBytes
