Collect garbage earlier and settle before steady measurements

Cause: resident memory was 30.5 MiB with 70 nodes, close to 32 MB. Ruled out: the endpoint table, which is some 20 KB at that size. Change: GC percent 40; benchmarks wait 15 s after joining. Measured: fleet of 70, largest resident 30.5 MiB at 100, 28.2 at 40, 28.1 at 25; processor mean 0.36%, 0.52%, 0.37% (machine shared with test runs). Conclusion: 40 is enough; below it nothing is gained.

--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -27,6 +27,10 @@
 // observeInterval is the interval at which the key manager looks at the view.
 const observeInterval = 500 * time.Millisecond
 
+// gcPercent makes the garbage collector run earlier than by default. With 70 nodes it lowered the largest resident
+// memory from 30.5 to 28.2 MiB, which matters against 32 MB, for 0.2% of a core.
+const gcPercent = 40
+
 // Daemon is one node.
 type Daemon struct {
 	settings *settings.Settings
@@ -58,6 +62,7 @@
 // New assembles a daemon and opens its listeners.
 func New(s *settings.Settings) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
+	debug.SetGCPercent(gcPercent)
 	d := &Daemon{settings: s, started: time.Now()}
 	steps := []func() error{
 		d.openListeners, d.buildLog, d.buildControl, d.buildTraffic, d.buildServers,
--- a/standin/bench/fleet_test.go
+++ b/standin/bench/fleet_test.go
@@ -15,6 +15,8 @@
 
 // Phases of a measurement.
 const (
+	// settleTime lets the hand-over of key records at joining end before the steady phase.
+	settleTime    = 15 * time.Second
 	steadyTime    = 10 * time.Second
 	publishPause  = 300 * time.Millisecond
 	publishCount  = 12
@@ -88,6 +90,7 @@
 		b.Fatal(err)
 	}
 	waitTargets(b, f, len(f.Plans))
+	time.Sleep(settleTime)
 }
 
 func reportRates(b *testing.B, r fleet.Rates) {
