--- a/server/coordination/ownership/join.go
+++ b/server/coordination/ownership/join.go
@@ -15,6 +15,7 @@
 	// ErrNoService means that no target has announced itself, so there is no service to join.
 	ErrNoService = errors.New("no target has announced itself")
 	errRestarted = errors.New("member restarted during the transfer")
+	errNoEntry   = errors.New("member does not know its own entry")
 	errNoRoom    = errors.New("no room for the records of a member")
 )
 
@@ -42,8 +43,10 @@
 // then makes the node eligible (rule R2). It repeats calls until every member has answered or is declared dead, or
 // until ctx ends or Leave is called. It must be called when the target announces itself and after DeclaredDead.
 func (m *Manager) Join(ctx context.Context) error {
-	m.joinMu.Lock()
-	defer m.joinMu.Unlock()
+	if err := m.takeTurn(ctx); err != nil {
+		return fmt.Errorf("join: %w", err)
+	}
+	defer func() { <-m.turn }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j, err := m.startJoin(cancel)
@@ -78,9 +81,7 @@
 	if m.phase == phaseEligible {
 		return nil, nil
 	}
-	m.service = v.Nodes[m.node].Service
-	// The members have to be selected anew, since the service may have changed.
-	m.view = nil
+	m.setService(v.Nodes[m.node].Service)
 	m.observe()
 	m.setPhase(phaseJoining)
 	m.counters.joins.Add(1)
@@ -91,6 +92,17 @@
 	}, nil
 }
 
+// setService selects the service whose members this node observes. The caller holds the lock.
+func (m *Manager) setService(service string) {
+	if m.service == service {
+		return
+	}
+	m.service = service
+	clear(m.gates)
+	clear(m.seen)
+	m.view = nil
+}
+
 // missing lists the members that have not acknowledged under their current incarnation.
 func (m *Manager) missing(j *joining) []endpoint.Entry {
 	m.mu.Lock()
@@ -190,7 +202,16 @@
 			m.gates[e.Node] = gate{entry: e, since: now}
 		}
 	}
-	for _, e := range reply.Members {
+	if err := m.identify(ack, member, reply.Members, first); err != nil {
+		return err
+	}
+	return m.importPage(ack, reply.Records, now)
+}
+
+// identify checks which incarnation of a member answered. A later one than the one that was asked does not have the
+// records of the earlier one.
+func (m *Manager) identify(ack *acknowledgement, member *endpoint.Entry, members []endpoint.Entry, first bool) error {
+	for _, e := range members {
 		if e.Node != member.Node {
 			continue
 		}
@@ -199,13 +220,15 @@
 				return errRestarted
 			}
 			if member.Eligible {
+				now := m.deps.Now()
 				m.lose(member.Node, now.UnixMilli(), now)
 			}
 			ack.incarnation = e.Incarnation
 		}
 		ack.responsible = e.Eligible
+		return nil
 	}
-	return m.importPage(ack, reply.Records, now)
+	return errNoEntry
 }
 
 func (m *Manager) importPage(ack *acknowledgement, records []wire.KeyRecord, now time.Time) error {
--- a/server/coordination/ownership/knowledge.go
+++ b/server/coordination/ownership/knowledge.go
@@ -137,9 +137,10 @@
 	k.lost[node] = lostNode{DiedMS: diedMS, Expires: expires}
 }
 
-// superseded reports whether the view says enough about an acknowledged joiner: that it ranks, or that it left.
+// superseded reports whether the view says enough about an acknowledged joiner: that it ranks, that it left, or, if
+// it ranked already, that it withdrew.
 func superseded(joiner, e *endpoint.Entry) bool {
-	return !older(e, joiner) && (e.Eligible || e.State == endpoint.Left)
+	return !older(e, joiner) && (e.Eligible || e.State == endpoint.Left || joiner.Eligible)
 }
 
 // older reports whether a is an older value of an entry than b.
--- a/server/coordination/ownership/leave.go
+++ b/server/coordination/ownership/leave.go
@@ -27,8 +27,10 @@
 		m.cancelJoin()
 	}
 	m.mu.Unlock()
-	m.joinMu.Lock()
-	defer m.joinMu.Unlock()
+	if err := m.takeTurn(ctx); err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	defer func() { <-m.turn }()
 	if !m.startLeave() {
 		return nil
 	}
--- a/server/coordination/ownership/manager.go
+++ b/server/coordination/ownership/manager.go
@@ -93,8 +93,8 @@
 	deps     Deps
 	started  time.Time
 	counters counters
-	// joinMu serializes Join and Leave.
-	joinMu sync.Mutex
+	// turn serializes Join and Leave; it holds one value while one of them runs.
+	turn chan struct{}
 
 	mu      sync.Mutex
 	phase   phase
@@ -126,6 +126,7 @@
 		deps:     deps,
 		started:  deps.Now(),
 		changed:  make(chan struct{}),
+		turn:     make(chan struct{}, 1),
 		store: idempotency.New(idempotency.Limits{
 			Retention:      settings.Rules.KeyRetention,
 			RecordsMax:     settings.RecordsMax,
@@ -140,6 +141,16 @@
 // Close ends the deliveries of final answers to other nodes. Drained waits for them.
 func (m *Manager) Close() { m.close() }
 
+// takeTurn waits until no Join or Leave runs.
+func (m *Manager) takeTurn(ctx context.Context) error {
+	select {
+	case m.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // setPhase changes the phase and wakes the requests that wait for it. The caller holds the lock.
 func (m *Manager) setPhase(p phase) {
 	m.phase = p
--- a/server/coordination/ownership/receiver.go
+++ b/server/coordination/ownership/receiver.go
@@ -107,6 +107,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.observe()
+	if self := m.entry(m.node); m.phase == phaseIdle && self != nil {
+		// A target has announced itself here and Join has not started yet.
+		m.setService(self.Service)
+		m.observe()
+	}
 	reply.Members = m.knownMembers()
 	if args.Joiner.Service != m.service || args.Joiner.Node == m.node {
 		return nil
