--- a/server/coordination/ownership/fault_test.go
+++ b/server/coordination/ownership/fault_test.go
@@ -211,11 +211,17 @@
 		a.m.DeclaredDead()
 		a.update(func(e *endpoint.Entry) { e.State = endpoint.Alive })
 		a.frozen.Store(false)
+		lost := keyFor("a", "b", "c", "x", "y")
+		assert.Assert(t, lost != key)
+		want(t, c.serve("a", issued(c, lost, time.Now()), work), outcome.Unknown, outcome.ReasonNotEligible)
 		assert.NilError(t, a.m.Join(t.Context()))
+		want(t, c.serve("a", issued(c, lost, time.Now()), work), outcome.Unknown, outcome.ReasonOwnerDied)
 		again := c.send("a", c.request(key), work)
 		want(t, again, outcome.Answered, "")
 		assert.Assert(t, again.Replayed)
 		want(t, c.send("b", c.request(before), work), outcome.Answered, "")
+		time.Sleep(7 * time.Second)
+		want(t, c.serve("a", issued(c, lost, time.Now()), work), outcome.Answered, "")
 	},
 	"planned leave with a running request": func(t *testing.T, c *cluster) {
 		key := keyFor("a", "b", "c")
@@ -248,10 +254,53 @@
 		assert.NilError(t, a.m.Leave(t.Context()))
 		c.declare("a", endpoint.Left)
 		assert.NilError(t, <-done)
-		r := c.send("b", c.request(key), work)
+		r := c.send("d", c.request(key), work)
 		want(t, r, outcome.Answered, "")
 		assert.Assert(t, r.Replayed)
 	},
+	"joiner learns of another only from a reply": func(t *testing.T, c *cluster) {
+		c.join("d")
+		key := keyFor("e", "d", "a", "b", "c")
+		c.send("d", c.request(key), work)
+		e := c.add("e")
+		e.lazy.Store(true)
+		delete(e.table, "d")
+		e.merge()
+		assert.NilError(t, e.m.Join(t.Context()))
+		r := c.send("e", c.request(key), work)
+		want(t, r, outcome.Answered, "")
+		assert.Assert(t, r.Replayed)
+	},
+	"member restarted and no view shows it": func(t *testing.T, c *cluster) {
+		key := keyFor("d", "a", "b", "c")
+		c.send("a", c.request(key), work)
+		d := c.add("d")
+		for _, name := range []string{"b", "c", "d"} {
+			c.node(name).frozen.Store(true)
+		}
+		c.crash("a")
+		c.add("a")
+		d.lazy.Store(true)
+		assert.NilError(t, d.m.Join(t.Context()))
+		want(t, c.send("d", c.request(key), work), outcome.Unknown, outcome.ReasonOwnerDied)
+	},
+	"not-run end overtakes the running record": func(t *testing.T, c *cluster) {
+		c.setCut("c", true)
+		d := c.add("d")
+		done := make(chan error, 1)
+		go func() { done <- d.m.Join(t.Context()) }()
+		time.Sleep(work)
+		args := wire.HandOverArgs{Leaver: "a", Service: service, Records: []wire.KeyRecord{
+			{Key: "k", State: wire.KeyDone, Executor: "a", Response: refuse(outcome.ReasonQueueFull)},
+		}}
+		var reply wire.HandOverReply
+		assert.NilError(t, d.m.Receiver().HandOver(args, &reply))
+		assert.Assert(t, !reply.Accepted)
+		c.setCut("c", false)
+		assert.NilError(t, <-done)
+		assert.NilError(t, d.m.Receiver().HandOver(args, &reply))
+		assert.Assert(t, reply.Accepted)
+	},
 	"all nodes leave and one joins": func(t *testing.T, c *cluster) {
 		key := keyFor("d", "a", "b", "c")
 		c.send("a", c.request(key), work)
@@ -267,6 +316,9 @@
 			}
 		}
 		assert.Assert(t, orphaned > 0)
+		for _, name := range []string{"a", "b", "c"} {
+			c.node(name).update(func(e *endpoint.Entry) { e.State = endpoint.NoTarget })
+		}
 		c.join("d")
 		r := c.send("d", c.request(key), work)
 		want(t, r, outcome.Answered, "")
--- a/server/coordination/ownership/sim_test.go
+++ b/server/coordination/ownership/sim_test.go
@@ -57,10 +57,12 @@
 	up      atomic.Bool
 	frozen  atomic.Bool
 	contact atomic.Int64
-	seen    bool
-	mu      sync.Mutex
-	table   map[string]endpoint.Entry
-	view    atomic.Pointer[view.View]
+	// lazy nodes do not take entries from replies into their view.
+	lazy  atomic.Bool
+	seen  bool
+	mu    sync.Mutex
+	table map[string]endpoint.Entry
+	view  atomic.Pointer[view.View]
 }
 
 func newCluster(t testing.TB) *cluster {
@@ -94,13 +96,17 @@
 	c.nodes[name] = n
 	c.mu.Unlock()
 	n.m = New(testSettings(name), Deps{
-		View:         n.view.Load,
-		ContactAge:   func() time.Duration { return time.Duration(n.contact.Load()) },
-		UpdateSelf:   n.update,
-		Call:         n.call,
-		Now:          time.Now,
-		MergeEntries: func(es []endpoint.Entry) { n.merge(es...) },
-		SeenBefore:   func(context.Context) (bool, error) { return n.seen, nil },
+		View:       n.view.Load,
+		ContactAge: func() time.Duration { return time.Duration(n.contact.Load()) },
+		UpdateSelf: n.update,
+		Call:       n.call,
+		Now:        time.Now,
+		MergeEntries: func(es []endpoint.Entry) {
+			if !n.lazy.Load() {
+				n.merge(es...)
+			}
+		},
+		SeenBefore: func(context.Context) (bool, error) { return n.seen, nil },
 	})
 	n.up.Store(true)
 	c.publish(entry)
--- a/server/state/idempotency/store.go
+++ b/server/state/idempotency/store.go
@@ -72,7 +72,13 @@
 	if e, ok := s.records[key]; ok {
 		return e.verdict(digest)
 	}
-	if _, ok := s.fences[attempt]; ok || attempt.ID == 0 {
+	if attempt.ID == 0 {
+		return Verdict{Kind: Fenced}
+	}
+	if e, ok := s.fences[attempt]; ok {
+		// The promise that the attempt is refused counts from the last time it was made.
+		e.Expires = now.Add(s.limits.Retention)
+		heap.Fix(&s.expiry, e.index)
 		return Verdict{Kind: Fenced}
 	}
 	if len(s.fences) >= s.limits.RecordsMax {
