Repair faults that random schedules found

Change: HandOver outside the rank takes only the end of a run; the loss of the own records is told from the first moment; every alive member may own; TakeOver passes the joiner's entry on; Join also needs contact (R6).

--- a/server/coordination/ownership/fault_test.go
+++ b/server/coordination/ownership/fault_test.go
@@ -47,8 +47,8 @@
 	},
 	"view lacks the joiner": func(t *testing.T, c *cluster) {
 		key := keyFor("d", "a", "b", "c")
-		c.node("a").frozen.Store(true)
-		c.node("b").frozen.Store(true)
+		c.node("a").freeze()
+		c.node("b").freeze()
 		c.join("d")
 		want(t, c.send("b", c.request(key), work), outcome.Answered, "")
 		want(t, c.send("a", c.request(key), work), outcome.Answered, "")
@@ -75,7 +75,7 @@
 	"view has a falsely dead owner": func(t *testing.T, c *cluster) {
 		key := keyFor("a", "b", "c")
 		c.send("a", c.request(key), work)
-		c.node("a").frozen.Store(true)
+		c.node("a").freeze()
 		c.declare("a", endpoint.Dead)
 		want(t, c.send("b", c.request(key), work), outcome.Unknown, outcome.ReasonOwnerDied)
 		r := c.send("a", c.request(key), work)
@@ -98,6 +98,34 @@
 		assert.NilError(t, <-done)
 		want(t, c.send("a", c.request(key), work), outcome.Answered, "")
 	},
+	"joiner without contact": func(t *testing.T, c *cluster) {
+		d := c.add("d")
+		d.contact.Store(int64(time.Minute))
+		done := make(chan error, 1)
+		go func() { done <- d.m.Join(t.Context()) }()
+		time.Sleep(work)
+		assert.Assert(t, !d.m.Eligible())
+		d.contact.Store(0)
+		assert.NilError(t, <-done)
+	},
+	"leave while the view shows a node that has left": func(t *testing.T, c *cluster) {
+		key := keyFor("a", "b", "c")
+		c.send("a", c.request(key), work)
+		b := c.node("b")
+		assert.NilError(t, c.node("a").m.Leave(t.Context()))
+		c.node("a").update(func(e *endpoint.Entry) { e.State = endpoint.Left })
+		b.freeze()
+		assert.NilError(t, c.node("a").m.Join(t.Context()))
+		c.node("a").update(func(e *endpoint.Entry) { e.State = endpoint.Alive })
+		b.frozen.Store(false)
+		c.sync(b)
+		b.freeze()
+		assert.NilError(t, c.node("a").m.Leave(t.Context()))
+		c.node("a").update(func(e *endpoint.Entry) { e.State = endpoint.Left })
+		assert.NilError(t, b.m.Leave(t.Context()))
+		c.node("b").update(func(e *endpoint.Entry) { e.State = endpoint.Left })
+		want(t, c.send("c", c.request(key), work), outcome.Answered, "")
+	},
 	"lost TakeOver reply": func(t *testing.T, c *cluster) {
 		keys := []string{keyFor("d", "a", "b", "c"), keyFor("d", "b", "a", "c"), keyFor("d", "c", "a", "b")}
 		for _, key := range keys {
@@ -150,7 +178,7 @@
 		key := keyFor("d", "a", "b", "c")
 		d := c.add("d")
 		for _, n := range c.nodes {
-			n.frozen.Store(true)
+			n.freeze()
 		}
 		assert.NilError(t, d.m.Join(t.Context()))
 		want(t, c.send("a", c.request(key), work), outcome.Answered, "")
@@ -181,6 +209,24 @@
 		time.Sleep(testSettings("").Rules.KeyRetention)
 		want(t, c.send("b", c.request(key), work), outcome.Answered, "")
 	},
+	"joiner tells of its own loss before its join is complete": func(t *testing.T, c *cluster) {
+		leave := func(name string) {
+			assert.NilError(t, c.node(name).m.Leave(t.Context()))
+			c.node(name).update(func(e *endpoint.Entry) { e.State = endpoint.Left })
+		}
+		key := keyFor("d", "a", "b", "c")
+		leave("c")
+		c.send("a", c.request(key), work)
+		c.crash("a")
+		a := c.add("a")
+		a.contact.Store(int64(time.Minute))
+		go a.m.Join(withClose(t.Context(), a.m))
+		time.Sleep(work)
+		leave("b")
+		d := c.join("d")
+		want(t, c.send("d", c.request(key), work), outcome.Unknown, outcome.ReasonOwnerDied)
+		assert.Assert(t, d.m.Eligible())
+	},
 	"restart alone is known from the seeds": func(t *testing.T, c *cluster) {
 		for _, name := range []string{"b", "c"} {
 			assert.NilError(t, c.node(name).m.Leave(t.Context()))
@@ -198,7 +244,7 @@
 		key, before := keyFor("a", "b", "c"), keyFor("a", "c", "b")
 		c.send("a", c.request(before), work)
 		a := c.node("a")
-		a.frozen.Store(true)
+		a.freeze()
 		a.contact.Store(int64(time.Minute))
 		c.declare("a", endpoint.Dead)
 		time.Sleep(10 * time.Second)
@@ -206,13 +252,13 @@
 		want(t, c.send("b", late, work), outcome.Answered, "")
 		want(t, c.serve("a", c.request(key), work), outcome.Unknown, outcome.ReasonSelfFenced)
 		a.contact.Store(int64(4500 * time.Millisecond))
-		want(t, c.serve("a", c.request(key), work), outcome.RefusedNotRun, outcome.ReasonSelfFenced)
+		lost := keyFor("a", "b", "c", "x", "y")
+		assert.Assert(t, lost != key)
+		want(t, c.serve("a", c.request(lost), work), outcome.RefusedNotRun, outcome.ReasonSelfFenced)
 		a.contact.Store(0)
 		a.m.DeclaredDead()
 		a.update(func(e *endpoint.Entry) { e.State = endpoint.Alive })
 		a.frozen.Store(false)
-		lost := keyFor("a", "b", "c", "x", "y")
-		assert.Assert(t, lost != key)
 		want(t, c.serve("a", issued(c, lost, time.Now()), work), outcome.Unknown, outcome.ReasonNotEligible)
 		assert.NilError(t, a.m.Join(t.Context()))
 		want(t, c.serve("a", issued(c, lost, time.Now()), work), outcome.Unknown, outcome.ReasonOwnerDied)
@@ -245,9 +291,10 @@
 		key := keyFor("d", "a", "b", "c")
 		c.send("a", c.request(key), work)
 		a := c.node("a")
-		a.frozen.Store(true)
+		a.freeze()
 		c.fault = func(from, to, _ string) (bool, bool) { return from == "d" && to == "a", false }
 		d := c.add("d")
+		d.frozen.Store(false)
 		done := make(chan error, 1)
 		go func() { done <- d.m.Join(t.Context()) }()
 		time.Sleep(work)
@@ -276,7 +323,7 @@
 		c.send("a", c.request(key), work)
 		d := c.add("d")
 		for _, name := range []string{"b", "c", "d"} {
-			c.node(name).frozen.Store(true)
+			c.node(name).freeze()
 		}
 		c.crash("a")
 		c.add("a")
@@ -345,9 +392,7 @@
 	"fence against late arrival": func(t *testing.T, c *cluster) {
 		key := keyFor("a", "b", "c")
 		late := c.request(key)
-		r := c.node("b").m.Resolve(t.Context(), late, "a")
-		want(t, r, outcome.RefusedNotRun, outcome.ReasonFenced)
-		c.notRun[attemptID{key, late.ID}] = true
+		want(t, c.resolve(t.Context(), "b", "a", late), outcome.RefusedNotRun, outcome.ReasonFenced)
 		want(t, c.send("a", late, work), outcome.RefusedNotRun, outcome.ReasonFenced)
 		want(t, c.send("a", c.request(key), work), outcome.Answered, "")
 	},
@@ -359,9 +404,9 @@
 		c.join("d")
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		want(t, c.node("b").m.Resolve(ctx, req, "a"), outcome.Answered, "")
+		want(t, c.resolve(ctx, "b", "a", req), outcome.Answered, "")
 		c.crash("d")
-		want(t, c.node("b").m.Resolve(ctx, req, "d"), outcome.Unknown, outcome.ReasonOwnerUnreachable)
+		want(t, c.resolve(ctx, "b", "d", req), outcome.Unknown, outcome.ReasonOwnerUnreachable)
 	},
 }
 
--- a/server/coordination/ownership/join.go
+++ b/server/coordination/ownership/join.go
@@ -26,8 +26,6 @@
 	asked map[string]acknowledgement
 	// learned are the members that replies named.
 	learned map[string]endpoint.Entry
-	// previous is true if an earlier incarnation of this node ended without handing over its records.
-	previous bool
 }
 
 // acknowledgement is what one member said.
@@ -40,7 +38,7 @@
 }
 
 // Join takes over the records for which this node is going to rank first, from every member of its service, and
-// then makes the node eligible (rule R2). It repeats calls until every member has answered or is declared dead, or
+// then makes the node eligible (rule R2). A node without contact (rule R6) does not become eligible. Join repeats calls until every member has answered or is declared dead, or
 // until ctx ends or Leave is called. It must be called when the target announces itself and after DeclaredDead.
 func (m *Manager) Join(ctx context.Context) error {
 	if err := m.takeTurn(ctx); err != nil {
@@ -55,10 +53,11 @@
 	}
 	for {
 		missing := m.missing(j)
-		if len(missing) == 0 {
+		// Without contact the known members may be out of date.
+		if len(missing) == 0 && m.MayStart() {
 			break
 		}
-		if failed := m.askAll(ctx, j, missing); failed == nil {
+		if failed := m.askAll(ctx, j, missing); failed == nil && len(missing) > 0 {
 			continue
 		}
 		if err := pause(ctx, m.settings.RetryInterval); err != nil {
@@ -130,7 +129,7 @@
 			// The node has left the service.
 			continue
 		}
-		if e.Eligible && e.State == endpoint.Dead {
+		if e.State == endpoint.Dead && e.Service == j.self.Service {
 			m.lose(node, e.DiedMS, now)
 		}
 		consider(&e)
@@ -165,8 +164,7 @@
 // ask transfers the records of one member, page by page.
 func (m *Manager) ask(ctx context.Context, j *joining, member *endpoint.Entry) error {
 	ack := acknowledgement{incarnation: member.Incarnation, inherited: make(map[string]bool)}
-	previous := false
-	first := true
+	previous, first := false, true
 	for cursor := uint64(0); first || cursor > 0; first = false {
 		var reply wire.TakeOverReply
 		args := wire.TakeOverArgs{Joiner: j.self, Cursor: cursor}
@@ -180,7 +178,9 @@
 		cursor = reply.Cursor
 	}
 	j.asked[member.Node] = ack
-	j.previous = j.previous || previous
+	if previous {
+		m.losePrevious()
+	}
 	return nil
 }
 
@@ -219,7 +219,7 @@
 			if !first {
 				return errRestarted
 			}
-			if member.Eligible {
+			if mayOwn(member) {
 				now := m.deps.Now()
 				m.lose(member.Node, now.UnixMilli(), now)
 			}
@@ -255,14 +255,12 @@
 // have started a key says that it ranks.
 func (m *Manager) completeJoin(ctx context.Context, j *joining) {
 	if len(j.asked) == 0 {
-		seen, err := m.deps.SeenBefore(ctx)
-		j.previous = seen || err != nil
+		if seen, err := m.deps.SeenBefore(ctx); seen || err != nil {
+			m.losePrevious()
+		}
 	}
 	m.mu.Lock()
-	now := m.observe()
-	if j.previous {
-		m.lose(m.node, m.started.UnixMilli(), now)
-	}
+	m.observe()
 	for node, l := range m.lost {
 		if node == m.node {
 			continue
@@ -281,6 +279,14 @@
 	m.mu.Unlock()
 }
 
+// losePrevious notes that an earlier incarnation of this node ended without handing over its records (rule R5). Other
+// joiners must learn of it from the first moment on, because the member that knew it may end too.
+func (m *Manager) losePrevious() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lose(m.node, m.started.UnixMilli(), m.observe())
+}
+
 // responsibleBefore lists the members that owned keys before a node was lost.
 func (j *joining) responsibleBefore(lost string) []string {
 	var out []string
--- a/server/coordination/ownership/knowledge.go
+++ b/server/coordination/ownership/knowledge.go
@@ -30,7 +30,13 @@
 // seenEntry is what the last view said about a member.
 type seenEntry struct {
 	incarnation int64
-	eligible    bool
+	mayOwn      bool
+}
+
+// mayOwn reports whether a node may have started keys. That includes a joiner, since it may have become eligible and
+// ended before any other node saw an entry that says so.
+func mayOwn(e *endpoint.Entry) bool {
+	return e.Eligible || e.State == endpoint.Alive || e.State == endpoint.Suspect
 }
 
 // gate is a node that this node acknowledged as a joiner, or learnt from one, before the view showed it.
@@ -85,15 +91,15 @@
 func (k *knowledge) observeEntry(e *endpoint.Entry, service string, now time.Time) {
 	before := k.seen[e.Node]
 	g, gated := k.gates[e.Node]
-	restarted := before.eligible && e.Incarnation > before.incarnation
+	restarted := before.mayOwn && e.Incarnation > before.incarnation
 	restartedJoiner := gated && e.Incarnation > g.entry.Incarnation
-	moved := before.eligible && e.Eligible && e.Service != service && e.State != endpoint.Left
+	moved := before.mayOwn && e.Eligible && e.Service != service && e.State != endpoint.Left
 	switch {
 	case restarted || restartedJoiner || moved:
 		// The records of the earlier incarnation are gone, and whatever ended it was not seen.
 		k.lose(e.Node, now.UnixMilli(), now)
 		delete(k.gates, e.Node)
-	case e.State == endpoint.Dead && (e.Eligible || before.eligible || (gated && !older(e, &g.entry))):
+	case e.State == endpoint.Dead && (e.Service == service || before.mayOwn):
 		k.lose(e.Node, e.DiedMS, now)
 		if gated && !older(e, &g.entry) {
 			delete(k.gates, e.Node)
@@ -102,7 +108,7 @@
 		delete(k.gates, e.Node)
 	}
 	if e.Service == service && service != "" {
-		k.seen[e.Node] = seenEntry{incarnation: e.Incarnation, eligible: e.Eligible}
+		k.seen[e.Node] = seenEntry{incarnation: e.Incarnation, mayOwn: mayOwn(e)}
 	} else {
 		delete(k.seen, e.Node)
 	}
--- a/server/coordination/ownership/random_test.go
+++ b/server/coordination/ownership/random_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,12 +48,19 @@
 		left: map[string]bool{}, fallen: map[string]bool{"d": true, "e": true},
 	}
 	var mu sync.Mutex
-	c.fault = randomFault(rand.New(rand.NewSource(seed)), &mu)
+	var over atomic.Bool
+	lose := randomFault(rand.New(rand.NewSource(seed)), &mu)
+	c.fault = func(from, to, method string) (bool, bool) {
+		if over.Load() {
+			return false, false
+		}
+		return lose(from, to, method)
+	}
 	for range scheduleSteps {
 		s.step(t.Context())
 		time.Sleep(time.Duration(s.r.Intn(1500)) * time.Millisecond)
 	}
-	c.fault = nil
+	over.Store(true)
 	for _, n := range s.names {
 		c.setCut(n, false)
 	}
@@ -98,15 +106,23 @@
 		req.KeyIssuedMS = time.Now().Unix() / 20 * 20_000
 	}
 	duration := time.Duration(s.r.Intn(3000)) * time.Millisecond
+	// An inquiry may come before the request that it asks for, during its run, or after it.
+	delay, ask := time.Duration(s.r.Intn(2000))*time.Millisecond, time.Duration(s.r.Intn(3000))*time.Millisecond
 	asker := s.names[s.r.Intn(len(s.names))]
 	s.work.Go(func() {
 		if s.c.node(name) == nil || s.c.node(asker) == nil {
 			return
 		}
-		s.c.send(name, req, duration)
+		sent := make(chan struct{})
+		time.AfterFunc(delay, func() {
+			s.c.send(name, req, duration)
+			close(sent)
+		})
+		time.Sleep(ask)
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		s.c.node(asker).m.Resolve(ctx, req, name)
+		s.c.resolve(ctx, asker, name, req)
+		<-sent
 	})
 }
 
@@ -168,11 +184,11 @@
 	if s.fallen[name] {
 		return
 	}
-	if n.frozen.CompareAndSwap(true, false) {
+	if n.frozen.Swap(false) {
 		s.c.sync(n)
 		return
 	}
-	n.frozen.Store(true)
+	n.freeze()
 }
 
 // pause cuts a node off until it is declared dead, then lets it return as rule R8 says.
@@ -182,7 +198,7 @@
 		return
 	}
 	s.c.setCut(name, true)
-	n.frozen.Store(true)
+	n.freeze()
 	time.Sleep(4 * time.Second)
 	n.contact.Store(int64(time.Minute))
 	time.Sleep(time.Second)
--- a/server/coordination/ownership/receiver.go
+++ b/server/coordination/ownership/receiver.go
@@ -103,7 +103,14 @@
 // TakeOver acknowledges a joiner (rule R2). From the first page on this node redirects the keys for which the
 // joiner ranks above it. A repeated call returns the same records.
 func (r *Receiver) TakeOver(args wire.TakeOverArgs, reply *wire.TakeOverReply) error {
-	m := r.m
+	if args.Cursor == 0 {
+		// Another joiner that asks only this node for members must learn of this one.
+		r.m.deps.MergeEntries([]endpoint.Entry{args.Joiner})
+	}
+	return r.m.takeOver(&args, reply)
+}
+
+func (m *Manager) takeOver(args *wire.TakeOverArgs, reply *wire.TakeOverReply) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.observe()
@@ -150,7 +157,7 @@
 	}
 	before := m.seen[joiner.Node]
 	g, gated := m.gates[joiner.Node]
-	if before.eligible && before.incarnation < joiner.Incarnation ||
+	if before.mayOwn && before.incarnation < joiner.Incarnation ||
 		gated && g.entry.Incarnation < joiner.Incarnation {
 		m.lose(joiner.Node, now.UnixMilli(), now)
 	}
@@ -213,8 +220,10 @@
 	forward := make(map[string]*batch)
 	for i := range args.Records {
 		rec := m.importable(&args.Records[i], now)
-		_, known := m.store.Lookup(now, rec.Key)
-		if !known && !m.hasPlace() {
+		existing, known := m.store.Lookup(now, rec.Key)
+		if running := known && existing.State == idempotency.Running; !running && !m.hasPlace() {
+			// Only the end of a run is taken, to pass it on. Any other record has to go to a node in the rank, even
+			// if there is a copy here.
 			return false, nil, ErrNotMember
 		}
 		if rec.State == idempotency.NotRun && !known && m.phase == phaseJoining {
--- a/server/coordination/ownership/sim_test.go
+++ b/server/coordination/ownership/sim_test.go
@@ -51,10 +51,11 @@
 }
 
 type simNode struct {
-	c       *cluster
-	name    string
-	m       *Manager
-	up      atomic.Bool
+	c    *cluster
+	name string
+	m    *Manager
+	up   atomic.Bool
+	// frozen nodes get no entries of others, for any length of time.
 	frozen  atomic.Bool
 	contact atomic.Int64
 	// lazy nodes do not take entries from replies into their view.
@@ -78,23 +79,13 @@
 	return s
 }
 
-// add starts a process with a target. Its table is that of another live node, as after a first sync.
+// add starts a process with a target. Its table is that of another live node, as after a first sync, however old.
 func (c *cluster) add(name string) *simNode {
 	n := &simNode{c: c, name: name, table: map[string]endpoint.Entry{}}
 	entry := endpoint.Entry{
 		Node: name, Address: name, Service: service,
 		Key: endpoint.Key{Incarnation: time.Now().UnixNano(), State: endpoint.Alive},
 	}
-	c.mu.Lock()
-	for _, o := range c.nodes {
-		if o.up.Load() && o.name != name && !o.frozen.Load() {
-			o.mu.Lock()
-			maps.Copy(n.table, o.table)
-			o.mu.Unlock()
-		}
-	}
-	c.nodes[name] = n
-	c.mu.Unlock()
 	n.m = New(testSettings(name), Deps{
 		View:       n.view.Load,
 		ContactAge: func() time.Duration { return time.Duration(n.contact.Load()) },
@@ -109,6 +100,18 @@
 		SeenBefore: func(context.Context) (bool, error) { return n.seen, nil },
 	})
 	n.up.Store(true)
+	c.mu.Lock()
+	for _, o := range slices.Sorted(maps.Keys(c.nodes)) {
+		if source := c.nodes[o]; source.up.Load() && o != name && !c.cut[o] {
+			source.mu.Lock()
+			maps.Copy(n.table, source.table)
+			source.mu.Unlock()
+			n.frozen.Store(source.frozen.Load())
+			break
+		}
+	}
+	c.nodes[name] = n
+	c.mu.Unlock()
 	c.publish(entry)
 	return n
 }
@@ -182,6 +185,9 @@
 	n.mu.Unlock()
 }
 
+// freeze stops the distribution of entries to a node.
+func (n *simNode) freeze() { n.frozen.Store(true) }
+
 func (n *simNode) update(change func(*endpoint.Entry)) {
 	n.mu.Lock()
 	e := n.table[n.name]
@@ -280,10 +286,36 @@
 	if !n.up.Load() {
 		return &wire.Response{Outcome: outcome.Unknown, Reason: outcome.ReasonOwnerUnreachable}
 	}
-	if resp.Outcome == outcome.RefusedNotRun {
-		c.mu.Lock()
-		c.notRun[attemptID{req.Key, req.ID}] = true
-		c.mu.Unlock()
+	c.heard(req, resp)
+	return resp
+}
+
+// heard notes what a sender was told. A refusal that names no other owner says that the key did not run.
+func (c *cluster) heard(req *wire.Request, resp *wire.Response) {
+	if resp.Outcome != outcome.RefusedNotRun {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notRun[attemptID{req.Key, req.ID}] = true
+	about := resp.Owner == nil && resp.Reason != outcome.ReasonKeyReused && resp.Reason != outcome.ReasonFenced
+	if runs := c.runs[req.Key]; about && len(runs) > 0 && !req.KeyFromMesh {
+		if time.Since(runs[len(runs)-1].end) < testSettings("").Rules.KeyRetention {
+			c.t.Errorf("key %s was called not run (%s) after a run at %s", req.Key, resp.Reason, runs[0].node)
+		}
+	}
+}
+
+// resolve asks a node's manager what became of an attempt that was sent to the node to.
+func (c *cluster) resolve(ctx context.Context, asker, to string, req *wire.Request) *wire.Response {
+	before := c.count(req.Key)
+	resp := c.node(asker).m.Resolve(ctx, req, to)
+	c.heard(req, resp)
+	if resp.Reason == outcome.ReasonFenced && before > 0 {
+		last := c.runs[req.Key][before-1]
+		if time.Since(last.end) < testSettings("").Rules.KeyRetention {
+			c.t.Errorf("key %s was fenced as never seen after a run at %s", req.Key, last.node)
+		}
 	}
 	return resp
 }
