Call a keyed request not run only on the word of its owner

Cause: a request with a caller's key may be the repeat of one that ran. Refusals of the entry node (not ready, full pool, shutdown, deadline, no route, no attempt left), and refusals of an executing node that had not looked the key up (queue full, draining, target down, overloaded, suspect), reached the caller as refused_not_run.

Change: one place, settle, decides for every request with a caller's key. Only fenced, self_fenced, records_full and key_reused, which an owner gives after looking the key up, and faults of the request itself stay refused_not_run. All others become unknown with the same reason, Retry-After and status 504, or 404 for no_route. Idempotent methods with a key are treated alike. The key is in every unknown response, also when the request was refused before a route was found.

Not covered here: an executing node that would look the key up before it refuses by load could let the ingress keep refused_not_run for a full queue.

--- a/server/coordination/ingress/job.go
+++ b/server/coordination/ingress/job.go
@@ -34,7 +34,7 @@
 
 // Do takes a request to its outcome. The end of ctx means that the caller has gone.
 func (h *Handler) Do(ctx context.Context, r *Request) *Result {
-	result := h.do(ctx, r)
+	result := settle(r, h.do(ctx, r))
 	h.counters.count(result.Outcome, result.Reason)
 	return result
 }
@@ -130,31 +130,9 @@
 	if j.mayHaveRun {
 		return unknown(response.Reason)
 	}
-	if j.keyFixed && !spokenByOwner(response.Reason) {
-		// An earlier request with this key may have run; only the owner of the key can say that none did.
-		return unknown(ownerReason(response.Reason))
-	}
 	return response
 }
 
-// spokenByOwner reports whether a refusal rests on the owner's records of the key, or on the form of the request.
-func spokenByOwner(reason outcome.Reason) bool {
-	switch reason {
-	case outcome.ReasonConnectFailed, outcome.ReasonNotOwner, outcome.ReasonNotEligible, outcome.ReasonNoTarget,
-		outcome.ReasonDeadline, outcome.ReasonCanceled:
-		return false
-	}
-	return true
-}
-
-func ownerReason(reason outcome.Reason) outcome.Reason {
-	switch reason {
-	case outcome.ReasonDeadline, outcome.ReasonCanceled:
-		return reason
-	}
-	return outcome.ReasonOwnerUnreachable
-}
-
 // sleep waits and reports false if ctx ended first.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	if wait <= 0 {
--- a/server/coordination/ingress/request.go
+++ b/server/coordination/ingress/request.go
@@ -40,21 +40,6 @@
 	return ""
 }
 
-// Result is the outcome of a request.
-type Result struct {
-	*wire.Response
-	// Key is the idempotency key of a request that is not idempotent.
-	Key string
-}
-
-func refuse(reason outcome.Reason) *wire.Response {
-	return &wire.Response{Outcome: outcome.RefusedNotRun, Reason: reason}
-}
-
-func unknown(reason outcome.Reason) *wire.Response {
-	return &wire.Response{Outcome: outcome.Unknown, Reason: reason}
-}
-
 // prepare checks a request and finds its route. It returns a refusal if the request does not go any further.
 func (h *Handler) prepare(r *Request, now time.Time) (*job, *wire.Response) {
 	if reason := h.checkForm(r); reason != outcome.ReasonNone {
--- a/server/protocol/outcome/http.go
+++ b/server/protocol/outcome/http.go
@@ -14,7 +14,8 @@
 )
 
 // HTTPStatus returns the status of a response to the caller. answered is the target's own status. A request that is
-// itself at fault gets a status of class 4xx; every other refusal is 503, an unknown outcome 504.
+// itself at fault gets a status of class 4xx; every other refusal is 503. An unknown outcome is 504, or 404 if the
+// request has no route.
 func HTTPStatus(o Outcome, reason Reason, answered int) int {
 	switch o {
 	case Answered:
@@ -22,10 +23,17 @@
 	case RefusedNotRun:
 		return refusalStatus(reason)
 	default:
-		return http.StatusGatewayTimeout
+		return unknownStatus(reason)
 	}
 }
 
+func unknownStatus(reason Reason) int {
+	if reason == ReasonNoRoute {
+		return http.StatusNotFound
+	}
+	return http.StatusGatewayTimeout
+}
+
 func refusalStatus(reason Reason) int {
 	switch reason {
 	case ReasonMalformed, ReasonKeyReused:
@@ -41,8 +49,25 @@
 	}
 }
 
-// MayPass reports whether the same request may succeed later, which is when Retry-After is sent.
+// MayPass reports whether the same request may succeed later, which is when Retry-After is sent. An unknown outcome
+// may pass if its reason is that of a refusal: the last attempt did not run, an earlier request with its key may have.
 func MayPass(o Outcome, reason Reason) bool {
-	return o == RefusedNotRun && refusalStatus(reason) == http.StatusServiceUnavailable &&
-		reason != ReasonDepthExceeded
+	switch o {
+	case RefusedNotRun:
+		return refusalStatus(reason) == http.StatusServiceUnavailable && reason != ReasonDepthExceeded
+	case Unknown:
+		return passingRefusal(reason)
+	default:
+		return false
+	}
+}
+
+func passingRefusal(reason Reason) bool {
+	switch reason {
+	case ReasonNotReady, ReasonNoRoute, ReasonNoTarget, ReasonDraining, ReasonTargetDown, ReasonQueueFull,
+		ReasonDeadline, ReasonOverloaded, ReasonNotOwner, ReasonNotEligible, ReasonSelfFenced, ReasonSuspect,
+		ReasonConnectFailed, ReasonShutdown, ReasonAttemptsExhausted:
+		return true
+	}
+	return false
 }
