Limit retries per hop and per chain, and price unknown outcomes

Cause: three attempts counted along the whole chain leave two retries for 15 hops. With 10% of the attempts refused a call meets 1.7 refusals on average, so 24% of the calls ran out of attempts. Without the chain-wide limit the fraction 0.1 becomes the limit, because 0.11 retries per call are needed.

Change: max_attempts (4) counts at one hop, chain_attempts (12) along the chain; retry_fraction is 0.15. A retry after an unknown outcome takes ten tokens, after a refusal one. Unknown attempts may have run at every hop below, so their repeats multiply: at one token each, a service that is overloaded for five seconds stays overloaded. The budget starts with the tokens for one such retry.

The key chain_attempts still has to be passed on in daemon/build.go.

--- a/server/coordination/ingress/ingress.go
+++ b/server/coordination/ingress/ingress.go
@@ -30,6 +30,8 @@
 	// DefaultTimeout and MaxAttempts apply to routes that set none.
 	DefaultTimeout time.Duration
 	MaxAttempts    int
+	// ChainAttempts limits the attempts of a whole call chain.
+	ChainAttempts int
 	// MaxDepth is the number of hops that a call chain may take.
 	MaxDepth int
 	// RedirectsMax limits the redirects that one attempt follows.
@@ -50,7 +52,8 @@
 		BodyMaxBytes:   1 << 20,
 		HeaderMaxBytes: 16 << 10,
 		DefaultTimeout: 10 * time.Second,
-		MaxAttempts:    3,
+		MaxAttempts:    retry.DefaultHopAttempts,
+		ChainAttempts:  retry.DefaultChainAttempts,
 		MaxDepth:       16,
 		RedirectsMax:   3,
 		// With 19 members of a service, 128 random keys miss the wanted owner once in a thousand requests.
--- a/server/coordination/ingress/job.go
+++ b/server/coordination/ingress/job.go
@@ -108,13 +108,13 @@
 		Reason:       response.Reason,
 		Idempotent:   j.idempotent,
 		KeyFixed:     j.keyFixed,
-		AttemptsLeft: j.chain.Attempts - j.attempts,
+		AttemptsLeft: j.chain.Left(j.attempts),
 		AttemptsMade: j.attempts,
 		Remaining:    time.Until(j.deadline),
 		BudgetLeft:   true,
 	}
 	decision := retry.Next(state)
-	if decision.Action == retry.GiveUp || j.h.budget.Take(time.Now().UnixMilli()) {
+	if decision.Action == retry.GiveUp || j.h.budget.Take(response.Outcome, time.Now().UnixMilli()) {
 		return decision
 	}
 	j.h.counters.BudgetExhausted.Add(1)
--- a/server/coordination/ingress/request.go
+++ b/server/coordination/ingress/request.go
@@ -68,7 +68,7 @@
 }
 
 func (h *Handler) limits(route *config.Route) retry.Limits {
-	limits := retry.Limits{Timeout: route.Timeout, Attempts: int(route.MaxAttempts)}
+	limits := retry.Limits{Timeout: route.Timeout, Attempts: int(route.MaxAttempts), ChainAttempts: h.settings.ChainAttempts}
 	if limits.Timeout <= 0 {
 		limits.Timeout = h.settings.DefaultTimeout
 	}
--- a/server/coordination/retry/budget.go
+++ b/server/coordination/retry/budget.go
@@ -2,7 +2,11 @@
 // what is known about the previous attempt.
 package retry
 
-import "sync"
+import (
+	"sync"
+
+	"wagtailford.example/server/protocol/outcome"
+)
 
 // BudgetSettings are the settings of a Budget.
 type BudgetSettings struct {
@@ -12,11 +16,25 @@
 	FloorPerSecond float64
 	// TokensMax limits the retries that can be saved up.
 	TokensMax float64
+	// UnknownCost is the number of tokens that a retry after an unknown outcome takes; a refusal costs one.
+	UnknownCost float64
 }
 
-// DefaultBudget is the default budget. The saved tokens are few, so that a sudden outage starts few retries.
+// Defaults of the limits on attempts, the first one included. With 10% of the attempts refused, a chain of 15 hops is
+// answered in 76% of the calls if the whole chain has 3 attempts, and in more than 99% with these limits.
+const (
+	// DefaultHopAttempts applies to one hop. Three attempts leave one call in 70 unanswered in that case.
+	DefaultHopAttempts = 4
+	// DefaultChainAttempts applies to a whole call chain.
+	DefaultChainAttempts = 12
+)
+
+// DefaultBudget is the default budget. The fraction has to exceed the retries that the refusals need, 0.11 with 10% of
+// the attempts refused. The saved tokens are few, so that a sudden outage starts few retries. An attempt with an unknown
+// outcome may have run at every hop below, so its repeats multiply along a chain; at the cost of a refusal they keep an
+// overloaded service from recovering.
 func DefaultBudget() BudgetSettings {
-	return BudgetSettings{Fraction: 0.1, FloorPerSecond: 1, TokensMax: 10}
+	return BudgetSettings{Fraction: 0.15, FloorPerSecond: 1, TokensMax: 10, UnknownCost: 10}
 }
 
 // Budget is a token bucket that is filled by first attempts and emptied by retries. It is safe for concurrent use.
@@ -28,9 +46,10 @@
 	lastMS int64
 }
 
-// NewBudget returns a budget that holds one second of the floor.
+// NewBudget returns a budget that holds one second of the floor, or the tokens for one retry of the more expensive kind
+// if those are more, so that a node can retry soon after its start.
 func NewBudget(settings BudgetSettings, nowMS int64) *Budget {
-	return &Budget{settings: settings, tokens: min(settings.FloorPerSecond, settings.TokensMax), lastMS: nowMS}
+	return &Budget{settings: settings, tokens: min(max(settings.FloorPerSecond, settings.UnknownCost), settings.TokensMax), lastMS: nowMS}
 }
 
 // First counts a first attempt.
@@ -41,15 +60,19 @@
 	b.tokens = min(b.tokens+b.settings.Fraction, b.settings.TokensMax)
 }
 
-// Take takes a token for a retry and reports whether there was one.
-func (b *Budget) Take(nowMS int64) bool {
+// Take takes the tokens for a retry after an attempt with the outcome o and reports whether there were enough.
+func (b *Budget) Take(o outcome.Outcome, nowMS int64) bool {
+	cost := 1.0
+	if o == outcome.Unknown {
+		cost = b.settings.UnknownCost
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(nowMS)
-	if b.tokens < 1 {
+	if b.tokens < cost {
 		return false
 	}
-	b.tokens--
+	b.tokens -= cost
 	return true
 }
 
--- a/server/coordination/retry/chain.go
+++ b/server/coordination/retry/chain.go
@@ -19,12 +19,25 @@
 // Chain is the position of a request in its call chain.
 type Chain struct {
 	Timeout time.Duration
-	// Attempts is the number of attempts left, including the first one.
+	// HopAttempts is the number of attempts that this hop may make, including the first one.
+	HopAttempts int
+	// Attempts is the number of attempts left for the whole chain, including the first one of this hop.
 	Attempts int
 	// Depth is the number of hops taken before this one.
 	Depth int
 }
 
+// Left returns the number of attempts that may follow after made attempts at this hop.
+func (c Chain) Left(made int) int {
+	return min(c.HopAttempts, c.Attempts) - made
+}
+
+// PassedOn returns the number of attempts left for the hops below, when made attempts at this hop include the one
+// that passes it on. Each retry takes one attempt from everything below it.
+func (c Chain) PassedOn(made int) int {
+	return c.Attempts - made + 1
+}
+
 // MalformedError means that a chain header is not a number in its range.
 type MalformedError struct {
 	Header, Value string
@@ -39,12 +52,14 @@
 	// Timeout and Attempts are those of the route.
 	Timeout  time.Duration
 	Attempts int
+	// ChainAttempts limits the attempts of the whole chain.
+	ChainAttempts int
 }
 
 // ParseChain reads the chain headers through get, which returns "" for an absent header. The limits of the hop
 // apply where a header allows more. The error is a *MalformedError.
 func ParseChain(get func(name string) string, limits Limits) (Chain, error) {
-	chain := Chain{Timeout: limits.Timeout, Attempts: limits.Attempts}
+	chain := Chain{Timeout: limits.Timeout, HopAttempts: limits.Attempts, Attempts: limits.ChainAttempts}
 	left, present, err := number(get, HeaderDeadline)
 	if err != nil {
 		return Chain{}, err
@@ -57,7 +72,7 @@
 		return Chain{}, err
 	}
 	if present {
-		chain.Attempts = int(min(attempts, int64(limits.Attempts)))
+		chain.Attempts = int(min(attempts, int64(limits.ChainAttempts)))
 	}
 	depth, _, err := number(get, HeaderDepth)
 	if err != nil {
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -94,8 +94,9 @@
 func routingKeys(r *Routing) []key {
 	return section("routing",
 		duration("default_timeout", &r.DefaultTimeout, "10s", 10*time.Millisecond, 10*time.Minute, "time limit of a request whose route sets none"),
-		integer("max_attempts", &r.MaxAttempts, "3", 1, 10, "attempts of an idempotent request whose route sets none"),
-		fraction("retry_fraction", &r.RetryFraction, "0.1", "retries as a fraction of first attempts"),
+		integer("max_attempts", &r.MaxAttempts, "4", 1, 10, "attempts of one hop whose route sets none"),
+		integer("chain_attempts", &r.ChainAttempts, "12", 1, 100, "attempts of a whole call chain"),
+		fraction("retry_fraction", &r.RetryFraction, "0.15", "retries as a fraction of first attempts"),
 		integer("eject_failures", &r.EjectFailures, "3", 1, 100, "consecutive failures after which a target is ejected"),
 		duration("eject_time", &r.EjectTime, "5s", 100*time.Millisecond, 10*time.Minute, "how long a target stays ejected"),
 		duration("slow_start", &r.SlowStart, "10s", 0, 10*time.Minute, "time over which a new target gets its full share"),
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -104,6 +104,7 @@
 type Routing struct {
 	DefaultTimeout time.Duration
 	MaxAttempts    int
+	ChainAttempts  int
 	RetryFraction  float64
 	EjectFailures  int
 	EjectTime      time.Duration
