--- a/server/coordination/ingress/concurrent_test.go
+++ b/server/coordination/ingress/concurrent_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -127,6 +128,35 @@
 	assert.Equal(t, values.Unknown, int64(2))
 }
 
+// TestServerFaults guards that requests which never reach the handler get an outcome too. One that is cut off by the
+// read timeout may be the repeat of a key, so it is not called not run.
+func TestServerFaults(t *testing.T) {
+	url, h := serve(t, nil, nil)
+	for _, c := range []struct {
+		text, status, outcome, reason string
+	}{
+		{"NONSENSE\r\n\r\n", "400", "refused-not-run", "malformed"},
+		{"POST /shop HTTP/1.1\r\nHost: a\r\nContent-Length: 9999999\r\n\r\n", "413", "refused-not-run", "too_large"},
+		{"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 40<<10) + "\r\n\r\n", "431", "refused-not-run", "header_too_large"},
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, c.text)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status[:3], c.status)
+		assert.Equal(t, resp.Header.Get("Wagtail-Outcome"), c.outcome)
+		assert.Equal(t, resp.Header.Get("Wagtail-Reason"), c.reason)
+		assert.Assert(t, resp.Close)
+		assert.NilError(t, conn.Close())
+	}
+	assert.Equal(t, h.Counters().Refused.Load(), int64(3))
+	late := h.answerFault(httpserver.ReadTimeout)
+	assert.Equal(t, late.Status, http.StatusRequestTimeout)
+	assert.Equal(t, late.Headers.Get("Wagtail-Outcome"), "unknown")
+}
+
 // TestBodiesPassUnchanged guards against the HTTP library: it writes a multipart body anew, puts its own text in place
 // of an empty body with status 404, and states the length 0 in a response to HEAD.
 func TestBodiesPassUnchanged(t *testing.T) {
--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -12,10 +13,11 @@
 	"wagtailford.example/server/coordination/ownership"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/transport/httpserver"
 )
 
 // serverLimitFactor is how far the limits of the server exceed those of the handler. What exceeds the server's limits
-// is answered by the library, which states no outcome.
+// ends its connection, while the handler refuses one request.
 const serverLimitFactor = 2
 
 // Register makes a server that does not run yet hand every request to the handler, and raises its limits on body and
@@ -27,9 +29,33 @@
 	// The library would parse a multipart body and write it anew, with other bytes than the caller sent.
 	options.DisablePreParseMultipartForm = true
 	options.NoDefaultServerHeader = true
+	httpserver.AnswerFaults(s, h.answerFault)
 	s.Use(h.Serve)
 }
 
+// answerFault answers a request that never reached Serve. One that was not read in time may have had a caller's key.
+func (h *Handler) answerFault(f httpserver.Fault) httpserver.Answer {
+	response := refuse(outcome.ReasonMalformed)
+	switch f {
+	case httpserver.BodyTooLarge:
+		response = refuse(outcome.ReasonTooLarge)
+	case httpserver.HeaderTooLarge:
+		response = refuse(outcome.ReasonHeaderTooLarge)
+	case httpserver.ReadTimeout:
+		response = unknown(outcome.ReasonDeadline)
+	}
+	h.counters.count(response.Outcome, response.Reason)
+	headers := make(http.Header)
+	headers.Set(outcome.HeaderOutcome, response.Outcome.String())
+	headers.Set(outcome.HeaderReason, string(response.Reason))
+	return httpserver.Answer{Status: f.Status(), Headers: headers, Body: statement(response)}
+}
+
+// statement is the body of a response that is not the target's.
+func statement(r *wire.Response) string {
+	return r.Outcome.String() + ": " + string(r.Reason) + "\n"
+}
+
 // Serve handles one HTTP request. ctx ends when the caller disconnects.
 func (h *Handler) Serve(ctx context.Context, c *app.RequestContext) {
 	result := h.Do(ctx, readRequest(c))
@@ -81,7 +107,7 @@
 		header.Set("Retry-After", strconv.Itoa(outcome.RetryAfterSeconds))
 	}
 	header.SetContentType("text/plain; charset=utf-8")
-	c.Response.SetBodyString(r.Outcome.String() + ": " + string(r.Reason) + "\n")
+	c.Response.SetBodyString(statement(r.Response))
 }
 
 // setBody passes the body on. An empty one is set as a stream, because the library puts its own text in place of an
