--- a/server/coordination/ingress/request.go
+++ b/server/coordination/ingress/request.go
@@ -40,21 +40,6 @@
 	return ""
 }
 
-// Result is the outcome of a request.
-type Result struct {
-	*wire.Response
-	// Key is the idempotency key of a request that is not idempotent.
-	Key string
-}
-
-func refuse(reason outcome.Reason) *wire.Response {
-	return &wire.Response{Outcome: outcome.RefusedNotRun, Reason: reason}
-}
-
-func unknown(reason outcome.Reason) *wire.Response {
-	return &wire.Response{Outcome: outcome.Unknown, Reason: reason}
-}
-
 // prepare checks a request and finds its route. It returns a refusal if the request does not go any further.
 func (h *Handler) prepare(r *Request, now time.Time) (*job, *wire.Response) {
 	if reason := h.checkForm(r); reason != outcome.ReasonNone {
@@ -83,7 +68,7 @@
 }
 
 func (h *Handler) limits(route *config.Route) retry.Limits {
-	limits := retry.Limits{Timeout: route.Timeout, Attempts: int(route.MaxAttempts)}
+	limits := retry.Limits{Timeout: route.Timeout, Attempts: int(route.MaxAttempts), ChainAttempts: h.settings.ChainAttempts}
 	if limits.Timeout <= 0 {
 		limits.Timeout = h.settings.DefaultTimeout
 	}
