Decide operators' changes without waiting in vain

ListVersions returned the oldest version first, since it reversed a history that is newest first already. A change whose verdict the fold cannot remember (bad change id, too many elements) was appended and then reported as of unknown outcome. A node that is blocked by an unknown rule version appended changes and then waited until the caller's deadline, and a node that is behind waited without any limit of its own. A publish without content removed everything.

Such changes are now refused before the append with a Rejected detail; a blocked node answers ChangeUnknown with not_appended; the wait for the verdict has a limit (8 s in the daemon), and so have drain and dump of another node.

--- a/server/coordination/operator/configservice.go
+++ b/server/coordination/operator/configservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/google/uuid"
 	"google.golang.org/grpc/codes"
@@ -37,8 +38,11 @@
 	return s.change(ctx, r.GetOptions(), config.Change{Op: config.OpDeleteRoute, Name: r.GetName()})
 }
 
-// Publish replaces the whole content.
+// Publish replaces the whole content. A request without content is refused: it would remove everything.
 func (s *Server) Publish(ctx context.Context, r *pb.PublishRequest) (*pb.ChangeResponse, error) {
+	if r.GetContent() == nil {
+		return nil, rejected(config.RejectInvalidField, "content is missing")
+	}
 	return s.change(ctx, r.GetOptions(), config.Change{Op: config.OpPublish, Content: contentFromProto(r.GetContent())})
 }
 
@@ -58,32 +62,56 @@
 	if verdict, ok := state.Verdict(c.ID); ok {
 		return verdictResponse(verdict, true)
 	}
-	data, err := config.EncodeChange(c)
+	if reason := state.BlockedReason(); reason != "" {
+		return nil, changeUnknown(c.ID, true, &blockedError{reason})
+	}
+	data, err := encode(c)
 	if err != nil {
-		return nil, status.Errorf(codes.InvalidArgument, "encode change: %v", err)
+		return nil, err
 	}
 	offset, err := s.append(ctx, data)
 	if err != nil {
 		return nil, changeUnknown(c.ID, s.deps.NotAppended(err), err)
 	}
-	if err := s.deps.Control.WaitOffset(ctx, offset); err != nil {
-		return nil, changeUnknown(c.ID, false, err)
-	}
-	state = s.deps.Control.State()
-	verdict, ok := state.Verdict(c.ID)
-	if !ok {
-		return nil, changeUnknown(c.ID, false, &blockedError{state.BlockedReason()})
-	}
-	return verdictResponse(verdict, verdict.Offset != offset)
+	return s.decided(ctx, c.ID, offset)
 }
 
-// blockedError means that the answering node cannot decide the change.
-type blockedError struct {
-	reason string
+// encode returns the record of a change. It refuses a change for which the fold could not remember a verdict, since
+// the caller would wait for that verdict in vain.
+func encode(c config.Change) ([]byte, error) {
+	data, err := config.EncodeChange(c)
+	var large *config.TooLargeError
+	if errors.As(err, &large) {
+		return nil, rejected(config.RejectTooLarge, err.Error())
+	}
+	if err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "encode change: %v", err)
+	}
+	first := config.Record{Offset: 1, Data: data}
+	folded, verdict := config.New().Apply(first)
+	if _, remembered := folded.Verdict(c.ID); !remembered {
+		return nil, rejected(verdict.Reason, verdict.Detail)
+	}
+	return data, nil
 }
 
-func (e *blockedError) Error() string {
-	return "this node could not decide the change: " + e.reason
+// decided waits until this node has folded the record at the offset and returns the verdict on its change id.
+func (s *Server) decided(ctx context.Context, id string, offset uint64) (*pb.ChangeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.VerdictTimeout)
+	defer cancel()
+	waitErr := s.deps.Control.WaitOffset(ctx, offset)
+	state := s.deps.Control.State()
+	verdict, ok := state.Verdict(id)
+	switch {
+	case ok:
+		return verdictResponse(verdict, verdict.Offset != offset)
+	case state.BlockedReason() != "":
+		return nil, changeUnknown(id, false, &blockedError{state.BlockedReason()})
+	case waitErr != nil:
+		return nil, changeUnknown(id, false, &behindError{appended: offset, folded: state.Offset(), cause: waitErr})
+	default:
+		return nil, changeUnknown(id, false, errForgotten)
+	}
 }
 
 func (s *Server) append(ctx context.Context, data []byte) (uint64, error) {
@@ -107,29 +135,10 @@
 			WinnerChangeId: v.WinnerID, WinnerOperator: v.WinnerOperator, CurrentVersion: v.Current,
 		})
 	default:
-		return nil, withDetail(rejectCode(v.Reason), "change rejected: "+v.Detail, &pb.Rejected{
-			Reason: string(v.Reason), Detail: v.Detail,
-		})
+		return nil, rejected(v.Reason, v.Detail)
 	}
 }
 
-func rejectCode(r config.RejectReason) codes.Code {
-	switch r {
-	case config.RejectNotFound:
-		return codes.NotFound
-	case config.RejectAlreadyExists:
-		return codes.AlreadyExists
-	case config.RejectUnknownService, config.RejectServiceInUse, config.RejectUnknownBase, config.RejectUnknownRule:
-		return codes.FailedPrecondition
-	default:
-		return codes.InvalidArgument
-	}
-}
-
-func changeUnknown(id string, notAppended bool, cause error) error {
-	return withDetail(codes.Unavailable, cause.Error(), &pb.ChangeUnknown{ChangeId: id, NotAppended: notAppended})
-}
-
 // GetService returns one service.
 func (s *Server) GetService(_ context.Context, r *pb.GetServiceRequest) (*pb.GetServiceResponse, error) {
 	state := s.deps.Control.State()
@@ -206,11 +215,8 @@
 		version = state.Version()
 	}
 	content, ok := state.ContentOf(version)
-	if !ok && version == state.Version() {
-		content, ok = state.Content(), true
-	}
 	if !ok {
-		return nil, status.Errorf(codes.NotFound, "version %d is not remembered", version)
+		return nil, status.Errorf(codes.NotFound, "version %d is not remembered; this node has version %d in force", version, state.Version())
 	}
 	response := &pb.GetVersionResponse{Content: contentToProto(content), Info: &pb.VersionInfo{Version: version}}
 	for _, info := range state.History() {
@@ -225,11 +231,7 @@
 func (s *Server) ListVersions(_ context.Context, r *pb.ListVersionsRequest) (*pb.ListVersionsResponse, error) {
 	history := s.deps.Control.State().History()
 	names := make([]string, len(history))
-	newestFirst := make([]config.VersionInfo, len(history))
 	for i, info := range history {
-		newestFirst[len(history)-1-i] = info
-	}
-	for i, info := range newestFirst {
 		names[i] = descendingToken(info.Version)
 	}
 	from, to, next, err := page(names, r.GetPageSize(), r.GetPageToken())
@@ -237,7 +239,7 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	response := &pb.ListVersionsResponse{NextPageToken: next}
-	for _, info := range newestFirst[from:to] {
+	for _, info := range history[from:to] {
 		response.Versions = append(response.Versions, infoToProto(info))
 	}
 	return response, nil
--- a/server/coordination/operator/meshservice.go
+++ b/server/coordination/operator/meshservice.go
@@ -157,6 +157,8 @@
 	if entry == nil {
 		return "", status.Errorf(codes.NotFound, "no node %q", node)
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.settings.CallTimeout)
+	defer cancel()
 	var reply wire.DrainReply
 	err := s.deps.Caller.Call(ctx, entry.Address, wire.ServiceControl+".Drain", &wire.DrainArgs{Undrain: undrain}, &reply)
 	if err != nil {
@@ -178,6 +180,8 @@
 	if entry == nil {
 		return nil, status.Errorf(codes.NotFound, "no node %q", r.GetNode())
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.settings.CallTimeout)
+	defer cancel()
 	var reply wire.DumpReply
 	err := s.deps.Caller.Call(ctx, entry.Address, wire.ServiceControl+".Dump", &wire.DumpArgs{}, &reply)
 	if err != nil {
--- a/server/coordination/operator/operator.go
+++ b/server/coordination/operator/operator.go
@@ -41,6 +41,8 @@
 	Node string
 	// AppendTimeout limits an append to the log.
 	AppendTimeout time.Duration
+	// VerdictTimeout limits the wait for this node to fold an appended change.
+	VerdictTimeout time.Duration
 	// CallTimeout limits a call to another node.
 	CallTimeout time.Duration
 	// ParallelCalls limits the calls to other nodes that one operator's call makes at the same time.
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -22,12 +22,14 @@
 )
 
 const (
-	// adminConnectionsMax and operatorConnectionsMax limit connections that only operators and monitoring open.
-	adminConnectionsMax    = 64
-	operatorStreamsMax     = 64
-	operatorMessageMax     = 4 << 20
-	operatorParallelCalls  = 32
-	operatorCallTimeout    = 2 * time.Second
+	// adminConnectionsMax and operatorStreamsMax limit what operators and monitoring open.
+	adminConnectionsMax   = 64
+	operatorStreamsMax    = 64
+	operatorMessageMax    = 4 << 20
+	operatorParallelCalls = 32
+	operatorCallTimeout   = 2 * time.Second
+	// operatorVerdictTimeout covers a version that takes the 6 s that convergence may take.
+	operatorVerdictTimeout = 8 * time.Second
 	operatorConnectionIdle = 5 * time.Minute
 	// writeTimeout limits the writing of an HTTP response.
 	writeTimeout = 30 * time.Second
@@ -155,10 +157,11 @@
 	}
 	d.listeners.grpc = grpc.NewServer(options...)
 	operator.New(operator.Settings{
-		Node:          d.settings.Node.Name,
-		AppendTimeout: d.settings.Log.AppendTimeout,
-		CallTimeout:   operatorCallTimeout,
-		ParallelCalls: operatorParallelCalls,
+		Node:           d.settings.Node.Name,
+		AppendTimeout:  d.settings.Log.AppendTimeout,
+		VerdictTimeout: operatorVerdictTimeout,
+		CallTimeout:    operatorCallTimeout,
+		ParallelCalls:  operatorParallelCalls,
 	}, operator.Deps{
 		Control: d.control,
 		Log:     d.log,
