Make wagtailctl's exit codes and updates safe to script

Faults found by running every command against a demo: - A refused connection made a change of unknown outcome (exit 6). Every change now reads first, so a daemon out of reach is exit 5. - The failed read of roll-forward was classed as a change of unknown outcome. The groups are named services, routes, versions, targets as in the design, with the singular as alias; drain, undrain and "versions status" exist.

--- a/ctl/cmd/wagtailctl/main.go
+++ b/ctl/cmd/wagtailctl/main.go
@@ -3,32 +3,15 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
 	"os/signal"
-	"strings"
 
-	"wagtailford.example/ctl/client"
 	"wagtailford.example/ctl/command"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	err := command.New(os.Stdout).ExecuteContext(ctx)
+	code := command.Run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
 	stop()
-	if err == nil {
-		return
-	}
-	fmt.Fprintln(os.Stderr, "wagtailctl:", client.Explain(err))
-	os.Exit(exitCode(err))
-}
-
-// exitCode treats an unknown command, which cobra reports as a plain error, as a mistake in the arguments.
-func exitCode(err error) int {
-	var usage *client.UsageError
-	if !errors.As(err, &usage) && strings.HasPrefix(err.Error(), "unknown command") {
-		return client.ExitUsage
-	}
-	return client.ExitCode(err)
+	os.Exit(code)
 }
--- a/ctl/command/mesh.go
+++ b/ctl/command/mesh.go
@@ -26,7 +26,7 @@
 		Args:  args(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			for {
-				if err := a.call(func(ctx context.Context, c *client.Client) error {
+				if err := a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 					return a.printStatus(ctx, c, version)
 				}); err != nil || !watch {
 					return err
@@ -51,11 +51,11 @@
 	}
 	var rows [][]string
 	for _, n := range response.GetNodes() {
-		reported := fmt.Sprint(n.GetVersion())
+		ready, version := fmt.Sprint(n.GetReady()), fmt.Sprint(n.GetVersion())
 		if n.GetUnreachable() {
-			reported = "unreachable"
+			ready, version = "-", "unreachable"
 		}
-		rows = append(rows, []string{n.GetNode(), n.GetFailureDomain(), n.GetState(), fmt.Sprint(n.GetReady()), reported})
+		rows = append(rows, []string{n.GetNode(), n.GetFailureDomain(), n.GetState(), ready, version})
 	}
 	rows = append(rows, []string{"TOTAL", "", "", "", fmt.Sprintf("%d of %d at version %d",
 		response.GetConverged(), len(response.GetNodes()), response.GetVersion())})
@@ -65,23 +65,22 @@
 	return a.printer.Print(response, []string{"NODE", "FAILURE DOMAIN", "STATE", "READY", "VERSION"}, rows)
 }
 
-// waitConverged returns when the version is in force on every node that is not declared dead or left.
+// waitConverged returns when the version is in force on every node that is not declared dead or left. Errors of the
+// status are no reason to stop before the time limit, since the version is accepted.
 func waitConverged(ctx context.Context, c *client.Client, version uint64) error {
-	var lagging []string
+	result := &client.NotConvergedError{Version: version}
 	for {
 		response, err := c.Mesh.GetStatus(ctx, &pb.GetStatusRequest{Version: version})
-		switch {
-		case err == nil:
-			lagging = laggingNodes(response, version)
-		case ctx.Err() == nil:
-			return err
+		if err == nil {
+			result.Asked = true
+			result.Nodes = laggingNodes(response, version)
 		}
-		if err == nil && len(lagging) == 0 {
+		if err == nil && len(result.Nodes) == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return &client.NotConvergedError{Version: version, Nodes: lagging}
+			return result
 		case <-time.After(waitInterval):
 		}
 	}
@@ -101,7 +100,7 @@
 }
 
 func (a *app) targetCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "target", Short: "List, drain and undrain targets"}
+	cmd := &cobra.Command{Use: "targets", Aliases: []string{"target"}, Short: "List, drain and undrain targets"}
 	cmd.AddCommand(a.listTargetsCommand(), a.drainCommand(), a.undrainCommand())
 	return cmd
 }
@@ -112,8 +111,8 @@
 		Use:   "list",
 		Short: "List the targets that have announced themselves",
 		Args:  args(0),
-		RunE: func(*cobra.Command, []string) error {
-			return a.call(func(ctx context.Context, c *client.Client) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 				all := &pb.ListTargetsResponse{}
 				request := &pb.ListTargetsRequest{Service: service, PageSize: pageSize}
 				for {
@@ -146,8 +145,8 @@
 		Use:   "drain NODE",
 		Short: "Stop new work for the target beside a node; work in flight finishes",
 		Args:  args(1),
-		RunE: func(_ *cobra.Command, values []string) error {
-			return a.call(func(ctx context.Context, c *client.Client) error {
+		RunE: func(cmd *cobra.Command, values []string) error {
+			return a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 				response, err := c.Mesh.DrainTarget(ctx, &pb.DrainTargetRequest{Node: values[0]})
 				if err != nil {
 					return err
@@ -161,10 +160,10 @@
 func (a *app) undrainCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "undrain NODE",
-		Short: "Let a drained target take work again",
+		Short: "Let a drained target take work again; takes effect when a drain in progress has ended",
 		Args:  args(1),
-		RunE: func(_ *cobra.Command, values []string) error {
-			return a.call(func(ctx context.Context, c *client.Client) error {
+		RunE: func(cmd *cobra.Command, values []string) error {
+			return a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 				response, err := c.Mesh.UndrainTarget(ctx, &pb.UndrainTargetRequest{Node: values[0]})
 				if err != nil {
 					return err
@@ -182,7 +181,7 @@
 		Short: "Write the state of one daemon process as JSON",
 		Args:  args(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.call(func(ctx context.Context, c *client.Client) error {
+			return a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 				response, err := c.Mesh.DumpState(ctx, &pb.DumpStateRequest{Node: node})
 				if err != nil {
 					return err
--- a/ctl/command/version.go
+++ b/ctl/command/version.go
@@ -2,24 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
-	"sort"
 	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	pb "wagtailford.example/api/wagtailford/v1"
 	"wagtailford.example/ctl/client"
 )
 
 func (a *app) versionCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "version", Short: "Publish, compare and list versions of the configuration"}
-	cmd.AddCommand(a.publishCommand(), a.rollForwardCommand(), a.showCommand(), a.diffCommand(), a.historyCommand())
+	cmd := &cobra.Command{Use: "versions", Aliases: []string{"version"}, Short: "Publish, compare and list versions of the configuration"}
+	cmd.AddCommand(a.publishCommand(), a.rollForwardCommand(), a.showCommand(), a.diffCommand(), a.historyCommand(),
+		a.statusCommand())
 	return cmd
 }
 
@@ -35,7 +35,7 @@
 			if err != nil {
 				return usage(err)
 			}
-			return a.apply(&ch, func(ctx context.Context, c *client.Client, o *pb.ChangeOptions) (*pb.ChangeResponse, error) {
+			return a.apply(cmd.Context(), &ch, reachable, func(ctx context.Context, c *client.Client, o *pb.ChangeOptions) (*pb.ChangeResponse, error) {
 				return c.Config.Publish(ctx, &pb.PublishRequest{Content: content, Options: o})
 			})
 		},
@@ -69,16 +69,20 @@
 		Use:   "roll-forward VERSION",
 		Short: "Publish the content of an earlier version as a new version",
 		Args:  args(1),
-		RunE: func(_ *cobra.Command, values []string) error {
+		RunE: func(cmd *cobra.Command, values []string) error {
 			version, err := parseVersion(values[0])
 			if err != nil {
 				return err
 			}
-			return a.apply(&ch, func(ctx context.Context, c *client.Client, o *pb.ChangeOptions) (*pb.ChangeResponse, error) {
-				earlier, err := c.Config.GetVersion(ctx, &pb.GetVersionRequest{Version: version})
-				if err != nil {
-					return nil, err
-				}
+			if version == 0 {
+				return usage(errors.New("version 0 is not an earlier version"))
+			}
+			var earlier *pb.GetVersionResponse
+			getEarlier := func(ctx context.Context, c *client.Client) error {
+				earlier, err = c.Config.GetVersion(ctx, &pb.GetVersionRequest{Version: version})
+				return err
+			}
+			return a.apply(cmd.Context(), &ch, getEarlier, func(ctx context.Context, c *client.Client, o *pb.ChangeOptions) (*pb.ChangeResponse, error) {
 				return c.Config.Publish(ctx, &pb.PublishRequest{Content: earlier.GetContent(), Options: o})
 			})
 		},
@@ -108,7 +112,7 @@
 					return err
 				}
 			}
-			return a.call(func(ctx context.Context, c *client.Client) error {
+			return a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 				response, err := c.Config.GetVersion(ctx, &pb.GetVersionRequest{Version: version})
 				if err != nil {
 					return err
@@ -124,81 +128,13 @@
 	}
 }
 
-func (a *app) diffCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "diff FROM TO",
-		Short: "Compare two versions (0 for the current one)",
-		Args:  args(2),
-		RunE: func(cmd *cobra.Command, values []string) error {
-			from, err := parseVersion(values[0])
-			if err != nil {
-				return err
-			}
-			to, err := parseVersion(values[1])
-			if err != nil {
-				return err
-			}
-			return a.call(func(ctx context.Context, c *client.Client) error {
-				before, err := c.Config.GetVersion(ctx, &pb.GetVersionRequest{Version: from})
-				if err != nil {
-					return err
-				}
-				after, err := c.Config.GetVersion(ctx, &pb.GetVersionRequest{Version: to})
-				if err != nil {
-					return err
-				}
-				for _, line := range diff(before.GetContent(), after.GetContent()) {
-					fmt.Fprintln(cmd.OutOrStdout(), line)
-				}
-				return nil
-			})
-		},
-	}
-}
-
-// diff lists resources that were added (+), removed (-) or changed (~).
-func diff(before, after *pb.Content) []string {
-	old, current := resources(before), resources(after)
-	names := make(map[string]bool)
-	for name := range old {
-		names[name] = true
-	}
-	for name := range current {
-		names[name] = true
-	}
-	var lines []string
-	for name := range names {
-		switch {
-		case old[name] == nil:
-			lines = append(lines, "+ "+name)
-		case current[name] == nil:
-			lines = append(lines, "- "+name)
-		case !proto.Equal(old[name], current[name]):
-			lines = append(lines, "~ "+name)
-		}
-	}
-	sort.Slice(lines, func(i, j int) bool { return lines[i][2:] < lines[j][2:] })
-	return lines
-}
-
-func resources(content *pb.Content) map[string]proto.Message {
-	all := make(map[string]proto.Message)
-	for _, s := range content.GetServices() {
-		all["service "+s.GetName()] = s
-	}
-	for _, r := range content.GetRoutes() {
-		all["route "+r.GetName()] = r
-	}
-	return all
-}
-
 func (a *app) historyCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "history",
 		Short: "List remembered versions, newest first",
 		Args:  args(0),
-		RunE: func(*cobra.Command, []string) error {
-			return a.call(func(ctx context.Context, c *client.Client) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.call(cmd.Context(), func(ctx context.Context, c *client.Client) error {
 				all := &pb.ListVersionsResponse{}
 				request := &pb.ListVersionsRequest{PageSize: pageSize}
 				for {
