--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"wagtailford.example/standin/fleet"
+	"wagtailford.example/standin/target"
 )
 
 // Times of the scenario.
@@ -78,7 +79,8 @@
 	*fleet.Fleet
 }
 
-// plans returns two failure domains with two nodes each; every service has one target in each failure domain.
+// plans returns two failure domains with a target of the services catalog and orders in each, and one target of the
+// service fragile, which a request crashes.
 func plans(network string) []fleet.Plan {
 	const region = "local"
 	return []fleet.Plan{
@@ -86,6 +88,7 @@
 		{Name: "n2", Region: region, FailureDomain: "west", Service: "orders", IP: network + ".1.2"},
 		{Name: "n3", Region: region, FailureDomain: "east", Service: "catalog", IP: network + ".2.1"},
 		{Name: "n4", Region: region, FailureDomain: "east", Service: "orders", IP: network + ".2.2"},
+		{Name: "n5", Region: region, FailureDomain: "east", Service: "fragile", IP: network + ".2.3"},
 	}
 }
 
@@ -116,6 +119,9 @@
 	for _, args := range [][]string{
 		{"service", "create", "catalog"},
 		{"service", "create", "orders"},
+		{"service", "create", "fragile"},
+		{"route", "create", "fragile", "--path-prefix", fragilePath, "--to", "fragile"},
+		{"route", "create", "crash", "--path-prefix", target.CrashPath, "--to", "fragile"},
 		{"route", "create", "catalog", "--path-prefix", catalogPrefix, "--to", "catalog"},
 		{"route", "create", "orders", "--path-prefix", ordersPrefix, "--to", "orders", "--wait"},
 	} {
@@ -149,10 +155,14 @@
 		run  func() error
 	}{
 		{"publish a version", func() error { return m.publish(m.Plans[1], "--max-attempts", "4") }},
+		{"two operators race", m.race},
 		{"drain target-n2", func() error { return m.drain(m.Plans[1], "drain") }},
 		{"wait", func() error { time.Sleep(drainTime); return nil }},
 		{"undrain target-n2", func() error { return m.drain(m.Plans[1], "undrain") }},
 		{"wait", func() error { time.Sleep(quietTime); return nil }},
+		{"freeze n2", func() error { return m.freeze(m.Plans[1]) }},
+		{"wait", func() error { time.Sleep(quietTime); return nil }},
+		{"send a request that crashes its target", func() error { return m.crash(m.Plans[4]) }},
 		{"kill n4", func() error { m.Nodes[killed.Name].Kill(); return nil }},
 		{"wait", func() error { time.Sleep(deadTime); return nil }},
 		{"restart n4", func() error { return m.Nodes[killed.Name].Start() }},
@@ -221,3 +231,15 @@
 	}
 	return fleet.Percentile(all, 0.99)
 }
+
+// version returns the version in force at the first node.
+func (m *mesh) version() (uint64, error) {
+	out, err := m.Ctl(m.Plans[0], "status", "-o", "json")
+	if err != nil {
+		return 0, err
+	}
+	var status struct {
+		Version uint64 `json:"version,string"`
+	}
+	return status.Version, json.Unmarshal([]byte(out), &status)
+}
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -72,3 +72,20 @@
 		return fmt.Errorf("%s did not stop within %v", p.name, stopTimeout)
 	}
 }
+
+// Freeze stops the process without ending it, as a VM that is paused; Thaw lets it go on.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Ended reports whether the process has ended by itself.
+func (p *Process) Ended() bool {
+	select {
+	case err := <-p.done:
+		p.done <- err
+		return true
+	default:
+		return false
+	}
+}
