Fence the smaller side of a split domain and tell answered verdicts

Cause: a split inside one failure domain left both sides unfenced, since followers of one side kept contact with each other, and a side of one node needed no contact once it had declared all others dead. A node that answered a death verdict withdrew its eligibility, which others that had not seen the verdict took for a planned leave, so the next in rank could run a key again. The tests of the control loop used a stub of the fold. Ruled out: contact with remote followers, which carries verdicts. Change: contact in the ring counts only in a majority of the known members of the domain; known dead nodes end the exemption of a lone node; the key manager treats a grown Entry.Rejoined as a loss, its own before any further key starts; the announcer joins again; tests run on the real fold. Measured: with the majority check off, TestSplitFencesSmallerSide fails with "assertion failed: false (fenced bool) != true (bool): d0-n0 in a side of 4"; with it, all pass. The price: in a single failure domain that loses half of its nodes at once, requests with keys wait until the nodes return or key_retention has passed.

--- a/server/coordination/announce/announcer.go
+++ b/server/coordination/announce/announcer.go
@@ -320,6 +320,23 @@
 	}
 }
 
+// Rejoin joins again after the node learned that it was declared dead.
+func (a *Announcer) Rejoin() {
+	a.mu.Lock()
+	leaveJoin := a.leaveJoin
+	a.leaveJoin = nil
+	a.mu.Unlock()
+	if leaveJoin == nil {
+		return
+	}
+	leaveJoin()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaveJoin == nil && a.life.Phase == Alive {
+		a.startJoin()
+	}
+}
+
 // startJoin joins in the background.
 func (a *Announcer) startJoin() {
 	ctx, cancel := context.WithCancel(a.stopped)
--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -206,11 +206,12 @@
 	return ok
 }
 
-// updateAlone notes whether the node knows another live node. Until it does, it needs no contact.
+// updateAlone notes whether the node knows another node. Until it does, it needs no contact. A dead node counts as
+// known while its entry is kept: it may be alive on the other side of a split and have declared this node dead.
 func (l *Loop) updateAlone(now time.Time) {
 	alone := true
 	for _, e := range l.table.All() {
-		if e.Node != l.node && e.Live() {
+		if e.Node != l.node && e.State != endpoint.Left {
 			alone = false
 			break
 		}
@@ -224,6 +225,23 @@
 	}
 }
 
+// inMajority reports whether more than half of the known members of the own failure domain are live, dead ones
+// counted as members while their entries are kept. Of the two sides of a split domain at most one is a majority, so
+// contact within one side proves nothing on the other.
+func (l *Loop) inMajority() bool {
+	live, all := 0, 0
+	for _, e := range l.table.All() {
+		if e.FailureDomain != l.domain || e.State == endpoint.Left {
+			continue
+		}
+		all++
+		if e.Node == l.node || e.Live() {
+			live++
+		}
+	}
+	return 2*live > all
+}
+
 // noteContact records a contact in the sense of rule R6.
 func (l *Loop) noteContact(at time.Time) {
 	last := l.contact.Load()
--- a/server/coordination/control/cluster_test.go
+++ b/server/coordination/control/cluster_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"wagtailford.example/server/coordination/fanout"
@@ -289,7 +288,7 @@
 			Destinations: []config.Destination{{Service: name, Weight: 1}},
 		}
 	}
-	data, err := msgpack.Marshal(change)
+	data, err := config.EncodeChange(change)
 	if err != nil {
 		panic(err)
 	}
--- a/server/coordination/control/control_test.go
+++ b/server/coordination/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -179,6 +180,23 @@
 	})
 }
 
+// Guards against two sides of a split failure domain that both start requests with keys: contact within one side must
+// keep at most the larger side unfenced.
+func TestSplitFencesSmallerSide(t *testing.T) {
+	for _, larger := range []int{4, 5} {
+		run(t, 1, 8, func(t *testing.T, c *cluster) {
+			side := func(n *node) bool { return n.name < fmt.Sprintf("d0-n%d", larger) }
+			c.set(false, func(from, to *node) bool { return side(from) != side(to) })
+			time.Sleep(time.Minute)
+			for _, n := range c.list() {
+				fenced := n.loop.ContactAge() > convergenceFirst.self
+				majority := side(n) && larger > 4
+				assert.Equal(t, fenced, !majority, "%s in a side of %d", n.name, larger)
+			}
+		})
+	}
+}
+
 // Guards against a parent that never gets what only its child holds, and children of a new version that wait for it.
 func TestChildAheadOfParent(t *testing.T) {
 	run(t, 2, 9, func(t *testing.T, c *cluster) {
@@ -255,7 +273,9 @@
 		c := newCluster(t)
 		n := c.startNode("a", "d1")
 		defer c.stop()
-		unknown := config.Record{Offset: 2, Data: []byte("\x81\xa4rule\x63")}
+		data, err := config.EncodeChange(config.Change{Rule: config.RuleVersion + 1, ID: "newer", Op: config.OpDeleteRoute, Name: "a"})
+		assert.NilError(t, err)
+		unknown := config.Record{Offset: 2, Data: data}
 		n.loop.DeliverRecords([]config.Record{record(1), unknown, record(3)})
 		n.loop.DeliverRecords([]config.Record{record(3)})
 		assert.Equal(t, n.loop.Offset(), uint64(1))
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -264,8 +264,12 @@
 	age := time.Duration(in.Reply.ContactAgeMS) * time.Millisecond
 	roles := l.roles.Load()
 	switch in.Relation {
-	case fanout.ToRing, fanout.ToRemote:
+	case fanout.ToRemote:
 		l.noteContact(membership.ContactTime(in.Sent, held, 0))
+	case fanout.ToRing:
+		if l.inMajority() {
+			l.noteContact(membership.ContactTime(in.Sent, held, 0))
+		}
 	case fanout.ToParent:
 		l.noteContact(membership.ContactTime(in.Sent, held, age))
 		if !roles.Follower && l.self.Parent != in.From.Node {
--- a/server/coordination/ownership/knowledge.go
+++ b/server/coordination/ownership/knowledge.go
@@ -30,6 +30,7 @@
 // seenEntry is what the last view said about a member.
 type seenEntry struct {
 	incarnation int64
+	rejoined    uint64
 	mayOwn      bool
 }
 
@@ -92,10 +93,12 @@
 	before := k.seen[e.Node]
 	g, gated := k.gates[e.Node]
 	restarted := before.mayOwn && e.Incarnation > before.incarnation
+	// The node answered a death verdict that this node may not have seen; keys may have run elsewhere meanwhile.
+	rejoined := before.mayOwn && e.Incarnation == before.incarnation && e.Rejoined > before.rejoined
 	restartedJoiner := gated && e.Incarnation > g.entry.Incarnation
 	moved := before.mayOwn && e.Eligible && e.Service != service && e.State != endpoint.Left
 	switch {
-	case restarted || restartedJoiner || moved:
+	case restarted || restartedJoiner || rejoined || moved:
 		// The records of the earlier incarnation are gone, and whatever ended it was not seen.
 		k.lose(e.Node, now.UnixMilli(), now)
 		delete(k.gates, e.Node)
@@ -108,7 +111,7 @@
 		delete(k.gates, e.Node)
 	}
 	if e.Service == service && service != "" {
-		k.seen[e.Node] = seenEntry{incarnation: e.Incarnation, mayOwn: mayOwn(e)}
+		k.seen[e.Node] = seenEntry{incarnation: e.Incarnation, rejoined: e.Rejoined, mayOwn: mayOwn(e)}
 	} else {
 		delete(k.seen, e.Node)
 	}
--- a/server/coordination/ownership/manager.go
+++ b/server/coordination/ownership/manager.go
@@ -96,9 +96,11 @@
 	// turn serializes Join and Leave; it holds one value while one of them runs.
 	turn chan struct{}
 
-	mu      sync.Mutex
-	phase   phase
-	service string
+	mu    sync.Mutex
+	phase phase
+	// rejoined is the newest value of the own Entry.Rejoined that was taken into account.
+	rejoined uint64
+	service  string
 	// changed is closed when the phase changes.
 	changed chan struct{}
 	store   *idempotency.Store
@@ -162,9 +164,27 @@
 func (m *Manager) observe() time.Time {
 	now := m.deps.Now()
 	m.knowledge.observe(m.deps.View(), m.service, now)
+	m.observeOwnDeath(now)
 	return now
 }
 
+// observeOwnDeath applies rule R8 as soon as the view shows that this node answered a death verdict. Waiting for
+// the call of DeclaredDead would leave a moment in which a key could start. The caller holds the lock.
+func (m *Manager) observeOwnDeath(now time.Time) {
+	if m.view == nil {
+		return
+	}
+	own := m.view.Nodes[m.node]
+	if own == nil || own.Rejoined <= m.rejoined {
+		return
+	}
+	m.rejoined = own.Rejoined
+	m.lose(m.node, now.UnixMilli(), now)
+	if m.phase == phaseEligible {
+		m.setPhase(phaseJoining)
+	}
+}
+
 // Observe takes the newest view into account. It must be called whenever a view is published or at least every
 // second, so that no incarnation of a member goes unnoticed and runs that another node never finished become unknown.
 func (m *Manager) Observe() {
@@ -189,8 +209,8 @@
 }
 
 // DeclaredDead applies rule R8: the node learnt that others declared it dead. Until Join has been run again no new
-// key is started, and afterwards keys that may have been run elsewhere in the meantime are answered unknown. The
-// entry must stay eligible, so that no other node takes the keys over.
+// key is started, and afterwards keys that may have been run elsewhere in the meantime are answered unknown. Other
+// nodes learn from Entry.Rejoined that records of this node may be missing.
 func (m *Manager) DeclaredDead() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -120,7 +120,7 @@
 	})
 	d.control.OnRoles(d.rolesChanged)
 	d.control.OnAhead(d.syncer.Pull)
-	d.control.OnDeclaredDead(func() { d.keys.DeclaredDead() })
+	d.control.OnDeclaredDead(d.declaredDead)
 	followSettings := follow.DefaultSettings()
 	followSettings.PollWait = s.Log.PollWait
 	followSettings.RetryMax = s.Log.RetryMax
--- a/server/daemon/roles.go
+++ b/server/daemon/roles.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// declaredDead joins the owners of keys again after other nodes declared this one dead.
+func (d *Daemon) declaredDead() {
+	log.Warn("this node was declared dead by others; joining again")
+	d.keys.DeclaredDead()
+	d.work.Go(d.announce.Rejoin)
+}
+
 // stopFollowing ends the follower's run and waits for it, so that two runs never overlap.
 func (d *Daemon) stopFollowing() {
 	if d.following == nil {
