--- a/server/coordination/ownership/bench_test.go
+++ b/server/coordination/ownership/bench_test.go
@@ -21,6 +21,8 @@
 		d.Finish(&wire.Response{Outcome: outcome.Answered, Status: 200, Body: make([]byte, 128)})
 	}
 	c.add("b").update(func(e *endpoint.Entry) { e.Eligible = true })
+	// Without a join node b has not taken any record over.
+	c.node("b").m.setService(service)
 	c.node("b").m.setPhase(phaseEligible)
 	return leaver
 }
--- a/server/coordination/ownership/join.go
+++ b/server/coordination/ownership/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"wagtailford.example/server/protocol/wire"
@@ -99,6 +100,8 @@
 	m.service = service
 	clear(m.gates)
 	clear(m.seen)
+	clear(m.inherited)
+	maps.DeleteFunc(m.lost, func(node string, _ lostNode) bool { return node != m.node })
 	m.view = nil
 }
 
--- a/server/coordination/ownership/knowledge.go
+++ b/server/coordination/ownership/knowledge.go
@@ -89,6 +89,7 @@
 }
 
 func (k *knowledge) observeEntry(e *endpoint.Entry, service string, now time.Time) {
+	member := e.Service == service && service != ""
 	before := k.seen[e.Node]
 	g, gated := k.gates[e.Node]
 	restarted := before.mayOwn && e.Incarnation > before.incarnation
@@ -99,7 +100,7 @@
 		// The records of the earlier incarnation are gone, and whatever ended it was not seen.
 		k.lose(e.Node, now.UnixMilli(), now)
 		delete(k.gates, e.Node)
-	case e.State == endpoint.Dead && (e.Service == service || before.mayOwn):
+	case e.State == endpoint.Dead && (member || before.mayOwn):
 		k.lose(e.Node, e.DiedMS, now)
 		if gated && !older(e, &g.entry) {
 			delete(k.gates, e.Node)
@@ -107,7 +108,7 @@
 	case gated && superseded(&g.entry, e):
 		delete(k.gates, e.Node)
 	}
-	if e.Service == service && service != "" {
+	if member {
 		k.seen[e.Node] = seenEntry{incarnation: e.Incarnation, mayOwn: mayOwn(e)}
 	} else {
 		delete(k.seen, e.Node)
--- a/server/coordination/ownership/receiver.go
+++ b/server/coordination/ownership/receiver.go
@@ -221,7 +221,8 @@
 	for i := range args.Records {
 		rec := m.importable(&args.Records[i], now)
 		existing, known := m.store.Lookup(now, rec.Key)
-		if running := known && existing.State == idempotency.Running; !running && !m.hasPlace() {
+		running := known && existing.State == idempotency.Running
+		if !running && (!m.hasPlace() || args.Service != m.service) {
 			// Only the end of a run is taken, to pass it on. Any other record has to go to a node in the rank, even
 			// if there is a copy here.
 			return false, nil, ErrNotMember
--- a/server/coordination/ownership/sim_test.go
+++ b/server/coordination/ownership/sim_test.go
@@ -246,6 +246,17 @@
 	}
 }
 
+// leave ends the target of a node in a planned way.
+func (c *cluster) leave(name string) {
+	c.t.Helper()
+	n := c.node(name)
+	n.update(func(e *endpoint.Entry) { e.State = endpoint.Draining })
+	if err := n.m.Leave(c.t.Context()); err != nil {
+		c.t.Fatalf("leave of %s: %v", name, err)
+	}
+	n.update(func(e *endpoint.Entry) { e.State = endpoint.Left })
+}
+
 // crash ends a process without hand-over.
 func (c *cluster) crash(name string) {
 	n := c.node(name)
