--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -96,12 +96,12 @@
 	l.counter.refuted.Add(1)
 	l.self.Key = answer.Key
 	if answer.DeclaredDead {
-		l.self.Eligible = false
+		// The entry stays eligible: if it lost its place, others would take over keys that may have run here.
 		l.self.Rejoined = l.self.Revision
 		l.notify.post(func() { l.notify.dead = true })
 	}
 	l.table.Merge(l.self, "", now)
-	// Traffic must see that the node is not eligible before a contact lifts the self-fence.
+	// Traffic must see the answered verdict before a contact lifts the self-fence.
 	l.publishView()
 	l.entriesChanged()
 }
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -192,7 +192,7 @@
 func (l *Loop) OnRoles(f func(fanout.Roles)) { l.notify.onRoles = f }
 
 // OnDeclaredDead sets the function that is called after the node learned that it was declared dead (rule R8). Its
-// entry has a higher revision and is not eligible by then. It must be set before Run.
+// entry has a higher revision by then. It must be set before Run.
 func (l *Loop) OnDeclaredDead(f func()) { l.notify.onDeclaredDead = f }
 
 // OnAhead sets the function that is called with a poller that has a higher offset than this node. It must be set
