Keep the place of key records that nobody can take over

Cause: the last member of a service has no successor for its key records; the drain repeated the hand-over without end, and a published left state would have let a later member run repeats of those keys. Change: such a node keeps its entry in the service as draining and ends without announcing left, so its keys are answered unknown for key_retention; shutdown waits for the last answers of handed-over keys.

--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -221,9 +221,9 @@
 		Slots:           s.Admission.Slots,
 	}, announce.Dependencies{
 		Runner:     d.executor,
-		UpdateSelf: d.control.UpdateSelf,
+		UpdateSelf: d.updateFromTarget,
 		Join:       d.keys.Join,
-		Leave:      d.keys.Leave,
+		Leave:      d.leaveKeys,
 		Log:        log.Log,
 	})
 	return err
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -51,6 +52,9 @@
 
 	listeners *listeners
 
+	// keysKept is true while key records stay here because no other member of the service can take them.
+	keysKept atomic.Bool
+
 	// work are the goroutines that end with the daemon's context.
 	work sync.WaitGroup
 	// following ends the log follower's run; nil while this node does not follow the log.
@@ -113,6 +117,7 @@
 	}
 	note("drain target", d.announce.Shutdown(ctx))
 	note("finish callers' requests", d.ingress.Shutdown(ctx))
+	note("finish the hand-over of key records", d.keys.Drained(ctx))
 	note("announce the end of the node", d.announceLeft(ctx))
 	stopBackground()
 	d.stopFollowing()
@@ -121,6 +126,7 @@
 	d.peers.Close()
 	d.controlPool.Close()
 	d.trafficPool.Close()
+	d.keys.Close()
 	d.work.Wait()
 	d.executor.Close()
 	d.log.Close()
@@ -133,8 +139,13 @@
 	return nil
 }
 
-// announceLeft publishes that the node has left and gives the parents time to hear it.
+// announceLeft publishes that the node has left and gives the parents time to hear it. A node whose key records
+// nobody took over ends without a word, so that it is declared dead and its keys keep their place.
 func (d *Daemon) announceLeft(ctx context.Context) error {
+	if d.keysKept.Load() {
+		log.Warn("key records end with this process; their keys are answered unknown until key_retention has passed")
+		return nil
+	}
 	d.control.UpdateSelf(func(e *endpoint.Entry) {
 		e.State = endpoint.Left
 		e.Eligible = false
