--- a/server/coordination/control/cluster_test.go
+++ b/server/coordination/control/cluster_test.go
@@ -33,9 +33,23 @@
 	cut     func(from, to *node) bool
 	wg      sync.WaitGroup
 	random  *rand.Rand
+	// loss is the share of messages that are lost and sent again.
+	loss    float64
 	profile profile
 }
 
+// retransmission returns how long a message is delayed by losses: TCP sends it again after a timeout that doubles.
+func (c *cluster) retransmission() time.Duration {
+	const firstTimeout = 200 * time.Millisecond
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var delay time.Duration
+	for timeout := firstTimeout; c.random.Float64() < c.loss; timeout *= 2 {
+		delay += timeout
+	}
+	return delay
+}
+
 type node struct {
 	cluster      *cluster
 	name, domain string
@@ -183,7 +197,7 @@
 // Call passes a sync to another node through gob, as net/rpc does. A cut link is silent for a second.
 func (n *node) Call(ctx context.Context, address, _ string, args, reply any) error {
 	silent := errors.New("silent")
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond + n.cluster.retransmission())
 	n.cluster.mu.Lock()
 	to, cut := n.cluster.nodes[address], n.cluster.cut
 	n.cluster.mu.Unlock()
@@ -197,7 +211,7 @@
 	var received wire.SyncArgs
 	transcode(n.cluster.t, args, &received)
 	r, err := to.loop.HandleSync(ctx, &received)
-	time.Sleep(time.Millisecond)
+	time.Sleep(time.Millisecond + n.cluster.retransmission())
 	n.cluster.mu.Lock()
 	cut = n.cluster.cut
 	n.cluster.mu.Unlock()
