--- a/server/coordination/ingress/change_test.go
+++ b/server/coordination/ingress/change_test.go
@@ -232,64 +232,96 @@
 	})
 }
 
+// changeStep is one request of a schedule, after a wait and maybe a change.
+type changeStep struct {
+	node, key, waitMS int
+	change, issued    bool
+	loss              string
+}
+
+func drawStep(rt *rapid.T) changeStep {
+	return changeStep{
+		node:   rapid.IntRange(0, 1).Draw(rt, "node"),
+		key:    rapid.IntRange(0, 1).Draw(rt, "key"),
+		waitMS: rapid.SampledFrom([]int{0, 100, 2900, 6100, 9000, 13_000, 24_000, 60_000}).Draw(rt, "wait ms"),
+		change: rapid.IntRange(0, 3).Draw(rt, "change") == 0,
+		issued: rapid.Bool().Draw(rt, "issued"),
+		loss:   rapid.SampledFrom([]string{"", "lost", "lost", "late"}).Draw(rt, "loss"),
+	}
+}
+
+// changeWorld is two nodes in front of the services.
+type changeWorld struct {
+	s     *services
+	nodes []*meshNode
+	sets  [][]string
+	views []*view.View
+	// first is when a key was first sent, which is its issue time.
+	first map[string]time.Time
+}
+
+// change puts the next set of destinations in force at one node, and 5.9 s later at the other.
+func (w *changeWorld) change(node int) {
+	w.views = append(w.views, routed("", w.sets[(len(w.views)+1)%len(w.sets)]...))
+	known := w.views
+	w.nodes[node].install(known...)
+	time.AfterFunc(5900*time.Millisecond, func() { w.nodes[1-node].install(known...) })
+	time.Sleep(100 * time.Millisecond)
+}
+
+func (w *changeWorld) play(step changeStep) {
+	time.Sleep(time.Duration(step.waitMS) * time.Millisecond)
+	if step.change {
+		w.change(step.node)
+	}
+	key := fmt.Sprintf("k%d-%v", step.key, step.issued)
+	if w.first[key].IsZero() {
+		w.first[key] = time.Now()
+	}
+	if time.Since(w.first[key]) > 9*time.Minute {
+		return
+	}
+	var issued time.Time
+	if step.issued {
+		issued = w.first[key]
+	}
+	w.s.loss = step.loss
+	w.nodes[step.node].post(key, issued)
+}
+
+// violation waits for late requests and returns a key that ran at two services.
+func (w *changeWorld) violation() string {
+	time.Sleep(time.Minute)
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	for key, at := range w.s.ran {
+		if len(at) > 1 {
+			return fmt.Sprintf("%s ran at %v", key, at)
+		}
+	}
+	return ""
+}
+
 // TestRouteChanges guards I6 over changes of the destinations that two nodes put in force at different times: no key
 // runs at two services, whoever is asked and when. A request may start long after it was sent.
 func TestRouteChanges(t *testing.T) {
 	sets := [][]string{{"vitrine"}, {"atelier"}, {"vitrine", "atelier"}, {"ledger"}, {"vitrine", "ledger"}}
 	rapid.Check(t, func(rt *rapid.T) {
-		type step struct {
-			node, key, wait int
-			change, issued  bool
-			loss            string
-		}
-		steps := make([]step, rapid.IntRange(4, 24).Draw(rt, "steps"))
-		for i := range steps {
-			steps[i] = step{
-				node: rapid.IntRange(0, 1).Draw(rt, "node"), key: rapid.IntRange(0, 1).Draw(rt, "key"),
-				wait:   rapid.SampledFrom([]int{0, 100, 2900, 6100, 9000, 13_000, 24_000, 60_000}).Draw(rt, "wait ms"),
-				change: rapid.IntRange(0, 3).Draw(rt, "change") == 0, issued: rapid.Bool().Draw(rt, "issued"),
-				loss: rapid.SampledFrom([]string{"", "lost", "lost", "late"}).Draw(rt, "loss"),
-			}
-		}
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 4, 24).Draw(rt, "steps")
 		order := rapid.Permutation(sets).Draw(rt, "sets")
 		violation := ""
 		synctest.Test(t, func(t *testing.T) {
 			s := newServices()
-			nodes := []*meshNode{newNode(t, s, routed("", order[0]...), 1000), newNode(t, s, routed("", order[0]...), 1_000_000)}
-			first := make(map[string]time.Time)
-			var views []*view.View
-			for _, step := range steps {
-				time.Sleep(time.Duration(step.wait) * time.Millisecond)
-				if step.change {
-					views = append(views, routed("", order[(len(views)+1)%len(order)]...))
-					known := views
-					nodes[step.node].install(known...)
-					time.AfterFunc(5900*time.Millisecond, func() { nodes[1-step.node].install(known...) })
-					time.Sleep(100 * time.Millisecond)
-				}
-				key := fmt.Sprintf("k%d-%v", step.key, step.issued)
-				if first[key].IsZero() {
-					first[key] = time.Now()
-				}
-				var issued time.Time
-				if step.issued {
-					issued = first[key]
-				}
-				if time.Since(first[key]) > 9*time.Minute {
-					continue
-				}
-				s.loss = step.loss
-				nodes[step.node].post(key, issued)
+			before := routed("", order[0]...)
+			w := &changeWorld{
+				s: s, sets: order, first: make(map[string]time.Time),
+				nodes: []*meshNode{newNode(t, s, before, 1000), newNode(t, s, before, 1_000_000)},
 			}
-			time.Sleep(time.Minute)
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			for key, at := range s.ran {
-				if len(at) > 1 {
-					violation = fmt.Sprintf("%s ran at %v", key, at)
-				}
+			for _, step := range steps {
+				w.play(step)
 			}
-			for _, n := range nodes {
+			violation = w.violation()
+			for _, n := range w.nodes {
 				assert.NilError(t, n.h.Shutdown(context.Background()))
 			}
 		})
