Measure how long answered requests take

Cause: a node published counts of requests but no times, so an operator could not tell a slow node from a busy one.

Change: the counters of the ingress, which expvar publishes, have Latency (since the start) and LatencyRecent (the last one to two minutes): count, p50, p99, p99.9 and maximum in microseconds, from receiving a request to its answer. Only answered requests count. Three HdrHistograms with two significant digits, each below 64 KiB, hold them; what exceeds ten minutes counts as ten minutes.

Measured: TestLatency in virtual time.

--- a/server/coordination/ingress/counters.go
+++ b/server/coordination/ingress/counters.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"wagtailford.example/server/protocol/outcome"
 )
@@ -27,6 +28,8 @@
 	// KeyMissed counts generated keys whose owner is not the target chosen by load.
 	KeyMissed atomic.Int64
 
+	latencies latencies
+
 	mu       sync.Mutex
 	byReason map[string]int64
 }
@@ -38,6 +41,8 @@
 	Resolves, BudgetExhausted  int64
 	Previous                   int64
 	Canceled, KeyMissed        int64
+	// Latency covers all answered requests, LatencyRecent those of the last one to two minutes.
+	Latency, LatencyRecent Latency
 	// ByReason counts requests by "outcome/reason".
 	ByReason map[string]int64
 }
@@ -69,7 +74,10 @@
 	c.mu.Lock()
 	byReason := maps.Clone(c.byReason)
 	c.mu.Unlock()
+	total, recent := c.latencies.values(time.Now())
 	return CounterValues{
+		Latency:         total,
+		LatencyRecent:   recent,
 		Answered:        c.Answered.Load(),
 		Refused:         c.Refused.Load(),
 		Unknown:         c.Unknown.Load(),
--- a/server/coordination/ingress/job.go
+++ b/server/coordination/ingress/job.go
@@ -38,8 +38,13 @@
 
 // Do takes a request to its outcome. The end of ctx means that the caller has gone.
 func (h *Handler) Do(ctx context.Context, r *Request) *Result {
+	start := time.Now()
 	result := settle(r, h.do(ctx, r))
 	h.counters.count(result.Outcome, result.Reason)
+	if result.Outcome == outcome.Answered {
+		now := time.Now()
+		h.counters.latencies.record(now.Sub(start), now)
+	}
 	return result
 }
 
