Do not take the versions read at the start for changes of routes

Cause: a node that starts reads older versions on its way to the newest one. The ingress remembered their routes as if they had been in force, so callers' keys would have started at services of old versions for the first seconds.

Change: the first routes that are remembered are those with which the node became ready. The dump states how many sets of routes are remembered, and how many were given up because of the bound.

--- a/server/coordination/ingress/change_test.go
+++ b/server/coordination/ingress/change_test.go
@@ -206,6 +206,18 @@
 	}
 }
 
+// TestContentsBeforeReady guards against a node that takes the versions that it reads at its start for changes.
+func TestContentsBeforeReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		starting := routed("", "vitrine")
+		starting.Ready = false
+		n := newNode(t, newServices(), starting, 1000)
+		defer n.h.Shutdown(context.Background())
+		n.install(routed("", "atelier"))
+		assert.Equal(t, n.post("k", time.Time{}), "answered/atelier")
+	})
+}
+
 // TestChangeBounds guards the keys that the remembered changes do not cover: with too many changes a key is not started,
 // and a generated key that a repeat would take elsewhere is not given out.
 func TestChangeBounds(t *testing.T) {
@@ -225,6 +237,7 @@
 		assert.Assert(t, result.Outcome == outcome.Unknown && result.Key == "")
 		s.loss = ""
 		n.install(views...)
+		assert.Equal(t, n.h.Dump().(State).PastRoutesDropped, int64(1))
 		time.Sleep(time.Minute)
 		assert.Equal(t, n.post("k", time.Time{}), "unknown/route_changed")
 		time.Sleep(10 * time.Minute)
--- a/server/coordination/ingress/history.go
+++ b/server/coordination/ingress/history.go
@@ -8,6 +8,7 @@
 
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/view"
 )
 
 const (
@@ -33,6 +34,8 @@
 	past []pastRoutes
 	// dropped is the end of the newest routes that were dropped before their time; zero if there are none.
 	dropped pastRoutes
+	// drops counts the sets of routes that were dropped before their time.
+	drops int64
 }
 
 // pastRoutes are routes that this node replaced.
@@ -44,11 +47,13 @@
 	timeoutMax time.Duration
 }
 
-// observe notes the content in force.
-func (h *history) observe(content *config.Content, now time.Time) {
+// observe notes the content of a view. Those that a node passes through at its start, before it is ready for the first
+// time, were not in force here.
+func (h *history) observe(v *view.View, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if content == h.current {
+	content := v.Content
+	if content == h.current || (h.current == nil && !v.Ready) {
 		return
 	}
 	replaced := h.current
@@ -84,6 +89,14 @@
 	oldest.timeoutMax = max(oldest.timeoutMax, h.dropped.timeoutMax)
 	oldest.matcher = nil
 	h.dropped = oldest
+	h.drops++
+}
+
+// size returns the number of remembered sets of routes and of those dropped before their time since the start.
+func (h *history) size() (past int, drops int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.past), h.drops
 }
 
 // expire forgets routes under which no key that may still be repeated can have run.
--- a/server/coordination/ingress/ingress.go
+++ b/server/coordination/ingress/ingress.go
@@ -196,8 +196,11 @@
 	WorkersBusy int
 	// BudgetTokens is the number of retries that the budget allows now.
 	BudgetTokens float64
-	Targets      routing.Summary
-	Counters     CounterValues
+	// PastRoutes are the sets of routes that are remembered for repeated keys, PastRoutesDropped those given up early.
+	PastRoutes        int
+	PastRoutesDropped int64
+	Targets           routing.Summary
+	Counters          CounterValues
 }
 
 // Dump returns the state of the handler; its size does not depend on the number of requests.
@@ -205,13 +208,16 @@
 	h.mu.Lock()
 	closed, inFlight := h.closed, h.inFlight
 	h.mu.Unlock()
+	past, drops := h.history.size()
 	return State{
-		Closed:       closed,
-		InFlight:     inFlight,
-		WorkersBusy:  h.pool.Running(),
-		BudgetTokens: h.budget.Tokens(),
-		Targets:      h.tracker.Summary(time.Now().UnixMilli()),
-		Counters:     h.counters.Values(),
+		PastRoutes:        past,
+		PastRoutesDropped: drops,
+		Closed:            closed,
+		InFlight:          inFlight,
+		WorkersBusy:       h.pool.Running(),
+		BudgetTokens:      h.budget.Tokens(),
+		Targets:           h.tracker.Summary(time.Now().UnixMilli()),
+		Counters:          h.counters.Values(),
 	}
 }
 
@@ -221,7 +227,7 @@
 	if v == nil {
 		return nil
 	}
-	h.history.observe(v.Content, time.Now())
+	h.history.observe(v, time.Now())
 	last := h.retained.Load()
 	if last != v && h.retained.CompareAndSwap(last, v) {
 		h.tracker.Retain(v.Nodes)
