--- a/server/coordination/ingress/counters.go
+++ b/server/coordination/ingress/counters.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"wagtailford.example/server/protocol/outcome"
 )
@@ -18,6 +19,8 @@
 	Retries, Redirects atomic.Int64
 	// Resolves are inquiries about attempts whose reply was lost.
 	Resolves atomic.Int64
+	// Previous are inquiries at services that a route led to before.
+	Previous atomic.Int64
 	// BudgetExhausted counts retries that the budget did not allow.
 	BudgetExhausted atomic.Int64
 	// Canceled counts attempts whose caller disconnected.
@@ -25,6 +28,8 @@
 	// KeyMissed counts generated keys whose owner is not the target chosen by load.
 	KeyMissed atomic.Int64
 
+	latencies latencies
+
 	mu       sync.Mutex
 	byReason map[string]int64
 }
@@ -34,7 +39,10 @@
 	Answered, Refused, Unknown int64
 	Retries, Redirects         int64
 	Resolves, BudgetExhausted  int64
+	Previous                   int64
 	Canceled, KeyMissed        int64
+	// Latency covers all answered requests, LatencyRecent those of the last one to two minutes.
+	Latency, LatencyRecent Latency
 	// ByReason counts requests by "outcome/reason".
 	ByReason map[string]int64
 }
@@ -66,13 +74,17 @@
 	c.mu.Lock()
 	byReason := maps.Clone(c.byReason)
 	c.mu.Unlock()
+	total, recent := c.latencies.values(time.Now())
 	return CounterValues{
+		Latency:         total,
+		LatencyRecent:   recent,
 		Answered:        c.Answered.Load(),
 		Refused:         c.Refused.Load(),
 		Unknown:         c.Unknown.Load(),
 		Retries:         c.Retries.Load(),
 		Redirects:       c.Redirects.Load(),
 		Resolves:        c.Resolves.Load(),
+		Previous:        c.Previous.Load(),
 		BudgetExhausted: c.BudgetExhausted.Load(),
 		Canceled:        c.Canceled.Load(),
 		KeyMissed:       c.KeyMissed.Load(),
