Stop without waiting for idle connections or cutting operators

Faults found by running several daemons in one process: - A graceful stop waited 30 s for an idle keep-alive connection, the fixed limit of the HTTP library, once per HTTP server. The stop now waits for operators' calls. - A role change during the stop raced with the end of the log follower (data race; a follower could be started after the stop). - expvar.Publish panicked on the second daemon of a process. - PUT /loglevel raced with log lines, since the level of an apex logger is a plain field; "fatal" was accepted. - Unusable certificates of the operator listener were found only after the listeners served; New returns them now. wagtailctl writes JSON with stable spaces.

--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -187,6 +187,7 @@
 		Repeated          bool
 	}
 	assert.NilError(t, json.Unmarshal([]byte(r.out), &changed))
+	assert.Equal(t, r.out, "{\n  \"version\": \"8\",\n  \"changeId\": \"c1\",\n  \"repeated\": true\n}\n")
 	assert.Assert(t, changed.Repeated && changed.Version == "8" && changed.ChangeID == "c1", r.out)
 }
 
--- a/ctl/command/version.go
+++ b/ctl/command/version.go
@@ -14,6 +14,7 @@
 
 	pb "wagtailford.example/api/wagtailford/v1"
 	"wagtailford.example/ctl/client"
+	"wagtailford.example/ctl/output"
 )
 
 func (a *app) versionCommand() *cobra.Command {
@@ -117,12 +118,7 @@
 				if err != nil {
 					return err
 				}
-				data, err := protojson.MarshalOptions{Multiline: true}.Marshal(response.GetContent())
-				if err != nil {
-					return err
-				}
-				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(data))
-				return err
+				return output.WriteJSON(cmd.OutOrStdout(), protojson.MarshalOptions{}, response.GetContent())
 			})
 		},
 	}
--- a/ctl/output/output.go
+++ b/ctl/output/output.go
@@ -2,6 +2,8 @@
 package output
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -45,10 +47,19 @@
 }
 
 func (p *Printer) json(message proto.Message) error {
-	data, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(message)
+	return WriteJSON(p.Writer, protojson.MarshalOptions{EmitUnpopulated: true}, message)
+}
+
+// WriteJSON writes a message as indented JSON. The spaces of protojson itself differ from build to build.
+func WriteJSON(w io.Writer, options protojson.MarshalOptions, message proto.Message) error {
+	data, err := options.Marshal(message)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(p.Writer, string(data))
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, data, "", "  "); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, indented.String())
 	return err
 }
--- a/server/daemon/admin/admin.go
+++ b/server/daemon/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
+	"wagtailford.example/server/daemon/logging"
 	"wagtailford.example/server/transport/httpserver"
 )
 
@@ -76,18 +77,16 @@
 }
 
 func showLevel(_ context.Context, c *app.RequestContext) {
-	if l, ok := log.Log.(*log.Logger); ok {
-		c.String(consts.StatusOK, "%s\n", l.Level)
-	}
+	c.String(consts.StatusOK, "%s\n", logging.Level())
 }
 
 // setLevel changes the log level at run time; the body is the name of the level.
 func setLevel(_ context.Context, c *app.RequestContext) {
 	level, err := log.ParseLevel(string(bytes.TrimSpace(c.Request.Body())))
-	if err != nil {
+	if err != nil || level > log.ErrorLevel {
 		c.String(consts.StatusBadRequest, "unknown level: use debug, info, warn or error\n")
 		return
 	}
-	log.SetLevel(level)
+	logging.SetLevel(level)
 	c.String(consts.StatusOK, "%s\n", level)
 }
--- a/server/daemon/command/command.go
+++ b/server/daemon/command/command.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"wagtailford.example/server/daemon"
+	"wagtailford.example/server/daemon/logging"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/state/config"
 )
@@ -37,15 +38,14 @@
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			parsed, err := log.ParseLevel(level)
-			if err != nil {
+			if err != nil || parsed > log.ErrorLevel {
 				return fmt.Errorf("unknown log level %q: use debug, info, warn or error", level)
 			}
 			s, err := settings.Load(args[0])
 			if err != nil {
 				return err
 			}
-			log.SetHandler(json.New(os.Stderr))
-			log.SetLevel(parsed)
+			logging.Setup(json.New(os.Stderr), parsed)
 			hlog.SetLevel(hlog.LevelFatal)
 			d, err := daemon.New(s)
 			if err != nil {
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -50,9 +50,13 @@
 
 	// work are the goroutines that end with the daemon's context.
 	work sync.WaitGroup
+	// followingMu guards the fields below: roles may still change while the daemon stops.
+	followingMu sync.Mutex
 	// following ends the log follower's run; nil while this node does not follow the log.
 	following     context.CancelFunc
 	followerEnded chan struct{}
+	// stopped is true when the node no longer follows the log, whatever its role.
+	stopped bool
 }
 
 // New assembles a daemon and opens its listeners.
@@ -60,7 +64,7 @@
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
 	d := &Daemon{settings: s, started: time.Now()}
 	steps := []func() error{
-		d.openListeners, d.buildLog, d.buildControl, d.buildTraffic, d.buildServers,
+		d.openListeners, d.buildLog, d.buildControl, d.buildTraffic, d.buildServers, d.buildOperator,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -109,9 +113,10 @@
 	}
 	note("drain target", d.announce.Shutdown(ctx))
 	note("finish callers' requests", d.ingress.Shutdown(ctx))
+	note("finish operators' calls", d.listeners.finishOperators(ctx))
 	note("announce the end of the node", d.announceLeft(ctx))
 	stopBackground()
-	d.stopFollowing()
+	d.endFollowing()
 	d.listeners.shutdown(ctx)
 	d.announce.Close()
 	d.peers.Close()
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -28,6 +29,8 @@
 	operatorMessageMax    = 4 << 20
 	operatorParallelCalls = 32
 	operatorCallTimeout   = 2 * time.Second
+	// operatorHandshakeTimeout limits how long a connection without a handshake can delay the end of the process.
+	operatorHandshakeTimeout = 5 * time.Second
 	// operatorVerdictTimeout covers a version that takes the 6 s that convergence may take.
 	operatorVerdictTimeout = 8 * time.Second
 	operatorConnectionIdle = 5 * time.Minute
@@ -39,8 +42,10 @@
 type listeners struct {
 	peer, ingress, operator, announce, admin net.Listener
 
-	http []*server.Hertz
-	grpc *grpc.Server
+	// tracked are the listeners of the HTTP servers.
+	tracked []*trackedListener
+	http    []*server.Hertz
+	grpc    *grpc.Server
 }
 
 func (d *Daemon) openListeners() error {
@@ -76,14 +81,43 @@
 	}
 }
 
-// shutdown stops the servers. The peer listener is closed last, since other nodes ask for outcomes through it.
-func (l *listeners) shutdown(ctx context.Context) {
-	if l.grpc != nil {
+// track wraps the listener of an HTTP server.
+func (l *listeners) track(listener net.Listener) net.Listener {
+	t := track(listener)
+	l.tracked = append(l.tracked, t)
+	return t
+}
+
+// finishOperators refuses new calls of operators and waits for those in progress until the end of ctx.
+func (l *listeners) finishOperators(ctx context.Context) error {
+	if l.grpc == nil {
+		return nil
+	}
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		l.grpc.GracefulStop()
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
 		l.grpc.Stop()
+		return ctx.Err()
 	}
+}
+
+// shutdown stops the HTTP servers, all at the same time, since each waits for its connections. The peer listener is
+// closed last, since other nodes ask for outcomes through it.
+func (l *listeners) shutdown(ctx context.Context) {
+	var wg sync.WaitGroup
 	for _, h := range l.http {
-		_ = h.Shutdown(ctx)
+		wg.Go(func() { _ = h.Shutdown(ctx) })
+	}
+	for _, t := range l.tracked {
+		t.endReads()
 	}
+	wg.Wait()
 	l.close()
 }
 
@@ -114,13 +148,13 @@
 			}
 		}()
 	}
-	ingressServer := httpserver.New(d.listeners.ingress, d.httpLimits())
+	ingressServer := httpserver.New(d.listeners.track(d.listeners.ingress), d.httpLimits())
 	d.ingress.Register(ingressServer)
 	local := d.httpLimits()
 	local.ConnectionsMax = adminConnectionsMax
-	announceServer := httpserver.New(d.listeners.announce, local)
+	announceServer := httpserver.New(d.listeners.track(d.listeners.announce), local)
 	d.announce.Register(announceServer)
-	adminServer := admin.New(d.listeners.admin, local, admin.Deps{
+	adminServer := admin.New(d.listeners.track(d.listeners.admin), local, admin.Deps{
 		Dump:        d.dump,
 		Ready:       func() bool { return d.control.View().Ready },
 		Convergence: func() any { return d.control.Installs() },
@@ -131,20 +165,20 @@
 	run("announce listener", announceServer.Run)
 	run("admin listener", adminServer.Run)
 	if d.listeners.operator != nil {
-		if err := d.buildOperator(); err != nil {
-			failed <- err
-			return failed
-		}
 		run("operator listener", func() error { return d.listeners.grpc.Serve(d.listeners.operator) })
 	}
 	return failed
 }
 
+// buildOperator sets up the service for operators, if there is an address for it.
 func (d *Daemon) buildOperator() error {
+	if d.listeners.operator == nil {
+		return nil
+	}
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(operatorMessageMax),
 		grpc.MaxConcurrentStreams(operatorStreamsMax),
-		grpc.ConnectionTimeout(d.settings.Limits.ReadTimeout),
+		grpc.ConnectionTimeout(operatorHandshakeTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: operatorConnectionIdle}),
 		grpc.MaxHeaderListSize(uint32(d.settings.Limits.HeaderMax)),
 	}
--- a/server/daemon/roles.go
+++ b/server/daemon/roles.go
@@ -29,8 +29,10 @@
 	log.WithFields(log.Fields{
 		"follower": r.Follower, "relay": r.Relay, "rank": r.Rank, "parent": r.Parent().Node,
 	}).Info("roles changed")
+	d.followingMu.Lock()
+	defer d.followingMu.Unlock()
 	switch {
-	case r.ReadsLog && d.following == nil:
+	case r.ReadsLog && d.following == nil && !d.stopped:
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		d.following, d.followerEnded = cancel, ended
@@ -43,7 +45,15 @@
 	}
 }
 
-// stopFollowing ends the follower's run and waits for it, so that two runs never overlap.
+// endFollowing ends the follower's run for good.
+func (d *Daemon) endFollowing() {
+	d.followingMu.Lock()
+	defer d.followingMu.Unlock()
+	d.stopped = true
+	d.stopFollowing()
+}
+
+// stopFollowing ends the follower's run and waits for it, so that two runs never overlap. The lock is held.
 func (d *Daemon) stopFollowing() {
 	if d.following == nil {
 		return
--- a/server/daemon/state.go
+++ b/server/daemon/state.go
@@ -5,6 +5,8 @@
 	"expvar"
 	"fmt"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"wagtailford.example/server/coordination/operator"
@@ -15,26 +17,39 @@
 // metricsName is the name of the expvar variable with all counters.
 const metricsName = "wagtaild"
 
-// publishMetrics makes the counters of all parts one expvar variable.
+// published is the daemon whose counters the expvar variable shows.
+var published atomic.Pointer[Daemon]
+
+// publishOnce registers the variable once per process, since a second registration of a name panics.
+var publishOnce = sync.OnceFunc(func() {
+	expvar.Publish(metricsName, expvar.Func(func() any { return published.Load().metrics() }))
+})
+
+// publishMetrics makes the counters of all parts one expvar variable. With several daemons in one process it shows
+// the one that started last.
 func (d *Daemon) publishMetrics() {
-	expvar.Publish(metricsName, expvar.Func(func() any {
-		return map[string]any{
-			"PeerServer":  d.peers.Counters().Values(),
-			"ControlPool": d.controlPool.Counters().Values(),
-			"TrafficPool": d.trafficPool.Counters().Values(),
-			"Log":         d.log.Stats(),
-			"Follower":    d.follower.Stats(),
-			"Control":     d.control.Counters(),
-			"Ingress":     d.ingress.Counters().Values(),
-			"Process": map[string]any{
-				"Goroutines":    runtime.NumGoroutine(),
-				"UptimeSeconds": int64(time.Since(d.started).Seconds()),
-			},
-			"Execute":   d.executor.Dump(),
-			"Announce":  d.announce.Dump(),
-			"Ownership": d.keys.Dump(),
-		}
-	}))
+	published.Store(d)
+	publishOnce()
+}
+
+// metrics returns the counters of all parts.
+func (d *Daemon) metrics() map[string]any {
+	return map[string]any{
+		"PeerServer":  d.peers.Counters().Values(),
+		"ControlPool": d.controlPool.Counters().Values(),
+		"TrafficPool": d.trafficPool.Counters().Values(),
+		"Log":         d.log.Stats(),
+		"Follower":    d.follower.Stats(),
+		"Control":     d.control.Counters(),
+		"Ingress":     d.ingress.Counters().Values(),
+		"Process": map[string]any{
+			"Goroutines":    runtime.NumGoroutine(),
+			"UptimeSeconds": int64(time.Since(d.started).Seconds()),
+		},
+		"Execute":   d.executor.Dump(),
+		"Announce":  d.announce.Dump(),
+		"Ownership": d.keys.Dump(),
+	}
 }
 
 // dump returns the state of the process as JSON.
