--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -102,7 +102,7 @@
 // stop drains the target, finishes the requests in flight, and then closes everything else.
 func (d *Daemon) stop(stopBackground func()) error {
 	limit := d.settings.Node.ShutdownTimeout
-	log.WithField("timeout", limit).Info("shutting down")
+	log.WithField("timeout", limit.String()).Info("shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var errs []error
