--- a/server/coordination/execute/headers.go
+++ b/server/coordination/execute/headers.go
@@ -131,9 +131,12 @@
 	req.SetBodyRaw(r.Body)
 }
 
+// usualHeaders is the number of header fields for which there is space at first.
+const usualHeaders = 8
+
 // answerHeaders copies the headers of a response without those of the connection.
 func answerHeaders(resp *protocol.Response) []wire.Header {
-	var all []wire.Header
+	all := make([]wire.Header, 0, usualHeaders)
 	resp.Header.VisitAll(func(name, value []byte) {
 		all = append(all, wire.Header{Name: string(name), Value: string(value)})
 	})
--- a/server/coordination/ingress/headers.go
+++ b/server/coordination/ingress/headers.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"net/textproto"
 	"strings"
 
 	"wagtailford.example/server/coordination/retry"
@@ -24,11 +25,12 @@
 // outcome of its own call.
 var responseDropped = nameSet(hopByHop, []string{outcome.HeaderOutcome, outcome.HeaderReason})
 
+// nameSet holds the names in canonical form, which costs no memory to get for a name that has it already.
 func nameSet(lists ...[]string) map[string]bool {
 	set := make(map[string]bool)
 	for _, list := range lists {
 		for _, name := range list {
-			set[strings.ToLower(name)] = true
+			set[textproto.CanonicalMIMEHeaderKey(name)] = true
 		}
 	}
 	return set
@@ -36,18 +38,21 @@
 
 // forwarded returns the fields without those in dropped and those that a Connection field names.
 func forwarded(headers []wire.Header, dropped map[string]bool) []wire.Header {
-	named := make(map[string]bool)
+	var named map[string]bool
 	for _, header := range headers {
 		if !strings.EqualFold(header.Name, "Connection") {
 			continue
 		}
 		for token := range strings.SplitSeq(header.Value, ",") {
-			named[strings.ToLower(strings.TrimSpace(token))] = true
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(token))] = true
 		}
 	}
 	kept := make([]wire.Header, 0, len(headers))
 	for _, header := range headers {
-		name := strings.ToLower(header.Name)
+		name := textproto.CanonicalMIMEHeaderKey(header.Name)
 		if dropped[name] || named[name] {
 			continue
 		}
--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -63,6 +63,9 @@
 	c.Abort()
 }
 
+// usualHeaders is the number of header fields for which there is space at first.
+const usualHeaders = 12
+
 // readRequest copies the request, because the server reuses its buffers while a worker may still send them.
 func readRequest(c *app.RequestContext) *Request {
 	uri := c.Request.URI()
@@ -79,6 +82,7 @@
 		Path:      path,
 		Body:      bytes.Clone(c.Request.Body()),
 	}
+	r.Headers = make([]wire.Header, 0, usualHeaders)
 	c.Request.Header.VisitAll(func(name, value []byte) {
 		r.Headers = append(r.Headers, wire.Header{Name: string(name), Value: string(value)})
 	})
--- a/server/daemon/admin/admin.go
+++ b/server/daemon/admin/admin.go
@@ -27,6 +27,8 @@
 	Ready func() bool
 	// Convergence returns how long recent versions took to be in force here, as JSON.
 	Convergence func() any
+	// Profile is true if profiles of the process are served.
+	Profile bool
 }
 
 // New returns a server on the listener. It is not started.
@@ -39,6 +41,10 @@
 	h.GET("/convergence", func(_ context.Context, c *app.RequestContext) { c.JSON(consts.StatusOK, deps.Convergence()) })
 	h.GET("/loglevel", showLevel)
 	h.PUT("/loglevel", setLevel)
+	if deps.Profile {
+		h.GET("/profile/cpu", cpuProfile)
+		h.GET("/profile/:name", namedProfile)
+	}
 	return h
 }
 
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -124,6 +124,7 @@
 		Dump:        d.dump,
 		Ready:       func() bool { return d.control.View().Ready },
 		Convergence: func() any { return d.control.Installs() },
+		Profile:     d.settings.Listen.Profile,
 	})
 	d.listeners.http = []*server.Hertz{ingressServer, announceServer, adminServer}
 	run("peer listener", func() error { return d.peers.Serve(d.listeners.peer) })
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -43,6 +43,7 @@
 		address("operator", &l.Operator, optional, "address for operators; empty for none"),
 		address("announce", &l.Announce, required, "loopback address for the target"),
 		address("admin", &l.Admin, required, "loopback address for metrics, dump and health"),
+		boolean("profile", &l.Profile, "serves processor and memory profiles on the admin address"),
 	)
 }
 
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -56,6 +56,8 @@
 	Operator string
 	Announce string
 	Admin    string
+	// Profile adds processor and memory profiles to the admin listener.
+	Profile bool
 }
 
 // Security holds credentials and certificate files.
--- a/server/transport/httpclient/pool.go
+++ b/server/transport/httpclient/pool.go
@@ -16,6 +16,8 @@
 	net.Conn
 	address string
 	reader  *reader
+	// raw gives access to the socket; nil if the connection has none.
+	raw syscall.RawConn
 	// written counts the bytes of the current request that were handed to the kernel.
 	written int
 	// idle closes the connection when it stays unused.
@@ -61,7 +63,7 @@
 		if cn == nil {
 			break
 		}
-		if quiet(cn.Conn) {
+		if cn.quiet() {
 			return cn, nil
 		}
 		p.close(cn)
@@ -74,7 +76,16 @@
 		p.release(address)
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: newReader(raw)}, nil
+	return newConn(raw, address), nil
+}
+
+func newConn(c net.Conn, address string) *conn {
+	cn := &conn{Conn: c, address: address, reader: newReader(c)}
+	if sc, ok := c.(syscall.Conn); ok {
+		// A socket that gives no access is taken for quiet, and a request on it decides.
+		cn.raw, _ = sc.SyscallConn()
+	}
+	return cn
 }
 
 // take removes the connection that was used last, which is the least likely to have been closed by the server.
@@ -169,18 +180,13 @@
 
 // quiet reports whether an idle connection is open and has nothing to read. A server that closed it, or sent bytes
 // that belong to no request, makes it unusable.
-func quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
+func (c *conn) quiet() bool {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	open := false
-	var buf [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
 		_, _, rerr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		open = rerr == syscall.EAGAIN
 		return true
--- a/server/transport/peer/codec.go
+++ b/server/transport/peer/codec.go
@@ -25,7 +25,9 @@
 	readTimeout time.Duration
 	lastRead    atomic.Int64
 
-	incoming bytes.Buffer
+	// payload is the message that incoming reads; its memory is used again for the next one unless a value owns it.
+	payload  []byte
+	incoming bytes.Reader
 	decoder  *gob.Decoder
 
 	encodeMu sync.Mutex
@@ -56,7 +58,10 @@
 				return err
 			}
 		}
-		kind, payload, err := readFrame(s.reader, s.max)
+		if cap(s.payload) > maxRetainedBuffer {
+			s.payload = nil
+		}
+		kind, payload, err := readFrame(s.reader, s.payload, s.max)
 		if err != nil {
 			return err
 		}
@@ -68,26 +73,28 @@
 				return err
 			}
 		case frameData:
-			s.incoming.Reset()
-			s.incoming.Write(payload)
+			s.payload = payload
+			s.incoming.Reset(payload)
 			return nil
 		}
 	}
 }
 
-// send encodes the values as one message.
-func (s *messageStream) send(values ...any) error {
+// send encodes the header of a call and its value as one message.
+func (s *messageStream) send(header, value any) error {
+	value, body := detach(value)
 	s.encodeMu.Lock()
 	defer s.encodeMu.Unlock()
 	s.outgoing.Reset()
-	s.outgoing.Write(make([]byte, frameHeaderBytes))
-	for _, v := range values {
+	s.outgoing.Write(emptyHeader[:])
+	for _, v := range [...]any{header, value} {
 		if err := s.encoder.Encode(v); err != nil {
 			// The encoder may have recorded types that the other end never saw.
 			s.conn.Close()
 			return &NotSentError{Cause: err}
 		}
 	}
+	s.outgoing.Write(body)
 	err := s.writer.write(frameData, s.outgoing.Bytes())
 	if err != nil {
 		s.conn.Close()
@@ -98,9 +105,12 @@
 	return err
 }
 
-// maxRetainedBuffer is the largest encode buffer, in bytes, that a connection keeps between messages.
+// maxRetainedBuffer is the largest buffer, in bytes, that each direction of a connection keeps between messages.
 const maxRetainedBuffer = 64 << 10
 
+// emptyHeader is the space for the header of a frame.
+var emptyHeader [frameHeaderBytes]byte
+
 // clientCodec is the client half of net/rpc on a message stream.
 type clientCodec struct {
 	*messageStream
@@ -118,7 +128,7 @@
 }
 
 func (c *clientCodec) ReadResponseBody(body any) error {
-	return c.decoder.Decode(body)
+	return c.decodeValue(body)
 }
 
 func (c *clientCodec) Close() error {
@@ -144,7 +154,7 @@
 }
 
 func (c *serverCodec) ReadRequestBody(body any) error {
-	return c.decoder.Decode(body)
+	return c.decodeValue(body)
 }
 
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
--- a/server/transport/peer/frame.go
+++ b/server/transport/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -23,10 +24,11 @@
 // ErrFrame means that the other end sent bytes that are not a valid frame.
 var ErrFrame = errors.New("invalid frame")
 
-// readFrame reads one frame. It refuses a payload above maxBytes before it allocates memory for it.
-func readFrame(r io.Reader, maxBytes int) (kind byte, payload []byte, err error) {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+// readFrame reads one frame into buf, or into new memory if buf is too small. It refuses a payload above maxBytes
+// before it allocates memory for it.
+func readFrame(r *bufio.Reader, buf []byte, maxBytes int) (kind byte, payload []byte, err error) {
+	header, err := r.Peek(frameHeaderBytes)
+	if err != nil {
 		return 0, nil, err
 	}
 	kind = header[0]
@@ -40,7 +42,13 @@
 	if kind != frameData && size != 0 {
 		return 0, nil, fmt.Errorf("%w: payload in a frame of kind %d", ErrFrame, kind)
 	}
-	payload = make([]byte, size)
+	if _, err := r.Discard(frameHeaderBytes); err != nil {
+		return 0, nil, err
+	}
+	if int(size) > cap(buf) {
+		buf = make([]byte, size)
+	}
+	payload = buf[:size]
 	if _, err := io.ReadFull(r, payload); err != nil {
 		return 0, nil, io.ErrUnexpectedEOF
 	}
--- a/server/transport/peer/handshake.go
+++ b/server/transport/peer/handshake.go
@@ -12,7 +12,7 @@
 )
 
 // protocolMagic starts every connection; its last byte is the protocol version.
-const protocolMagic = "WGTL\x01"
+const protocolMagic = "WGTL\x02"
 
 // nonceBytes is the size of the challenge that each end sends.
 const nonceBytes = 32
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -189,7 +190,7 @@
 	f.Add([]byte{frameData, 0xff, 0xff, 0xff, 0xff})
 	const limit = 1 << 10
 	f.Fuzz(func(t *testing.T, data []byte) {
-		kind, payload, err := readFrame(bytes.NewReader(data), limit)
+		kind, payload, err := readFrame(bufio.NewReader(bytes.NewReader(data)), nil, limit)
 		if err != nil {
 			return
 		}
--- a/standin/bench/latency_test.go
+++ b/standin/bench/latency_test.go
@@ -25,7 +25,7 @@
 func twoNodes(b *testing.B) *fleet.Fleet {
 	b.Helper()
 	network := fleet.Network()
-	f, err := Start(fleet.Options{WithTargets: true, Plans: []fleet.Plan{
+	f, err := Start(fleet.Options{WithTargets: true, Settings: profileSettings(), Plans: []fleet.Plan{
 		{Name: "n1", Region: "r", FailureDomain: "d1", Service: "near", IP: network + ".1.1"},
 		{Name: "n2", Region: "r", FailureDomain: "d2", Service: "far", IP: network + ".1.2"},
 	}})
@@ -76,12 +76,14 @@
 	for _, rate := range []int{100, 400, 1600, 3200} {
 		for _, p := range paths {
 			b.Run(fmt.Sprintf("rate=%d/%s", rate, p.name), func(b *testing.B) {
-				before := f.Sample()
+				before, heapBefore := f.Sample(), heapOf(b, f)
+				profiled := writeProfiles(b, f, fmt.Sprintf("%d-%s", rate, p.name), duration)
 				r := loadgen.Run(loadgen.Options{
 					Rate: rate, Duration: duration, OutstandingMax: 512,
 					Do: func(int) string { return send(f, p.method, p.url) },
 				})
-				after := f.Sample()
+				profiled()
+				after, heapAfter := f.Sample(), heapOf(b, f)
 				const ok = "answered"
 				b.ReportMetric(float64(r.Quantile(ok, 50).Microseconds()), "p50-us")
 				b.ReportMetric(float64(r.Quantile(ok, 99).Microseconds()), "p99-us")
@@ -92,7 +94,11 @@
 				for name := range after.Usage {
 					cpu += after.Usage[name].CPU - before.Usage[name].CPU
 				}
-				b.ReportMetric(float64(cpu.Microseconds())/float64(max(1, r.Sent)), "mesh-cpu-us/call")
+				calls := float64(max(1, r.Sent))
+				b.ReportMetric(float64(cpu.Microseconds())/calls, "mesh-cpu-us/call")
+				b.ReportMetric(float64(heapAfter.Mallocs-heapBefore.Mallocs)/calls, "mesh-allocs/call")
+				b.ReportMetric(float64(heapAfter.TotalAlloc-heapBefore.TotalAlloc)/calls, "mesh-bytes/call")
+				b.ReportMetric(float64(fleet.Between(before, after).ResidentMax)/(1<<20), "rss-MiB-max")
 				b.ReportMetric(0, "ns/op")
 			})
 		}
--- /dev/null
+++ b/standin/bench/overload_test.go
@@ -0,0 +1,235 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wagtailford.example/standin/fleet"
+	"wagtailford.example/standin/loadgen"
+	"wagtailford.example/standin/target"
+)
+
+const (
+	// callerTimeout is the time that a caller of the overload and fault benchmarks waits for its answer.
+	callerTimeout = time.Second
+	// callersMax limits the calls in progress; it is above what the highest rate reaches within callerTimeout.
+	callersMax = 8000
+	// noLimit is the largest number of slots that a target can announce.
+	noLimit = 4096
+	// recoveryWindow is the time over which the share of answered calls is judged.
+	recoveryWindow = 100 * time.Millisecond
+	// recovered is the share of answered calls in recoveryWindow that counts as recovered.
+	recovered = 0.99
+)
+
+// limitsOff takes every limit away that would refuse or delay a request before the target does.
+const limitsOff = `[admission]
+slots = 4096
+queue = 100000
+workers = 100000
+[limits]
+connections_max = 20000
+[target]
+connections_max = 10000
+`
+
+// limitsOn leaves admission at its defaults and lets the callers of the benchmark connect.
+const limitsOn = `[limits]
+connections_max = 20000
+`
+
+// openCaller sends calls on as many connections as they need.
+type openCaller struct {
+	client *http.Client
+}
+
+func newOpenCaller(b *testing.B) *openCaller {
+	b.Helper()
+	transport := &http.Transport{MaxIdleConnsPerHost: callersMax}
+	b.Cleanup(transport.CloseIdleConnections)
+	return &openCaller{client: &http.Client{Transport: transport}}
+}
+
+// send makes one call with the deadline of callerTimeout and returns its outcome, or "timeout" or "error".
+func (c *openCaller) send(url string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "error"
+	}
+	req.Header.Set("Wagtail-Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	req.Header.Set(target.HeaderRequestID, uuid.NewString())
+	reply, err := c.client.Do(req)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "timeout"
+	}
+	if err != nil {
+		return "error"
+	}
+	reply.Body.Close()
+	if outcome := reply.Header.Get("Wagtail-Outcome"); outcome != "" {
+		return outcome
+	}
+	return "error"
+}
+
+// startWorkers starts n nodes of one service with a worker beside each.
+func startWorkers(b *testing.B, n, announced int, settings string) (*fleet.Fleet, []*worker) {
+	b.Helper()
+	network := fleet.Network()
+	options := fleet.Options{Settings: settings}
+	for i := range n {
+		options.Plans = append(options.Plans, fleet.Plan{
+			Name: fmt.Sprintf("n%d", i), Region: "r", FailureDomain: "d", Service: "work", IP: fmt.Sprintf("%s.2.%d", network, 1+i),
+		})
+	}
+	f, err := Start(options)
+	b.Cleanup(func() { Finish(f) })
+	if err != nil {
+		b.Fatal(err)
+	}
+	workers := make([]*worker, n)
+	for i, p := range f.Plans {
+		workers[i] = startWorker(b, f, p, announced)
+	}
+	mustCtl(b, f, "service", "create", "work")
+	mustCtl(b, f, "route", "create", "work", "--path-prefix", "/work", "--to", "work", "--wait")
+	waitTargets(b, f, n)
+	// A target that has just started gets its full share after slow_start.
+	time.Sleep(11 * time.Second)
+	return f, workers
+}
+
+// runs is the number of requests that all workers started.
+func runs(workers []*worker) int64 {
+	var sum int64
+	for _, w := range workers {
+		sum += w.started.Load()
+	}
+	return sum
+}
+
+// measure offers a load at the first node and reports its outcomes and the runs at targets per call. It returns the
+// calls with the time at which they were due.
+func measure(b *testing.B, f *fleet.Fleet, workers []*worker, rate int, duration time.Duration) []call {
+	caller := newOpenCaller(b)
+	url := f.Plans[0].URL(fleet.IngressPort) + "/work"
+	var mu sync.Mutex
+	var calls []call
+	before, cpuBefore := runs(workers), f.Sample()
+	start := time.Now()
+	interval := time.Second / time.Duration(rate)
+	r := loadgen.Run(loadgen.Options{
+		Rate: rate, Duration: duration, OutstandingMax: callersMax,
+		Do: func(i int) string {
+			outcome := caller.send(url)
+			mu.Lock()
+			defer mu.Unlock()
+			calls = append(calls, call{due: time.Duration(i) * interval, end: time.Since(start), outcome: outcome})
+			return outcome
+		},
+	})
+	cpu := f.Sample()
+	sent := float64(max(1, r.Sent))
+	seconds := duration.Seconds()
+	b.ReportMetric(float64(rate), "offered/s")
+	b.ReportMetric(float64(r.Outcomes["answered"])/seconds, "goodput/s")
+	b.ReportMetric(100*float64(r.Outcomes["refused-not-run"])/sent, "refused-%")
+	b.ReportMetric(100*float64(r.Outcomes["unknown"])/sent, "unknown-%")
+	b.ReportMetric(100*float64(r.Outcomes["timeout"]+r.Outcomes["error"])/sent, "no-answer-%")
+	b.ReportMetric(float64(r.Skipped), "skipped")
+	b.ReportMetric(float64(r.Quantile("answered", 50).Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(r.Quantile("answered", 99).Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(runs(workers)-before)/sent, "runs/call")
+	b.ReportMetric(fleet.Between(cpuBefore, cpu).CPUMax, "cpu-%-max")
+	b.ReportMetric(0, "ns/op")
+	return calls
+}
+
+// call is one call of a measurement; due and end count from its start.
+type call struct {
+	due, end time.Duration
+	outcome  string
+}
+
+// recovery is the end of the last window in which too few of the calls that were due were answered.
+func recovery(calls []call) time.Duration {
+	slices.SortFunc(calls, func(a, b call) int { return int(a.due - b.due) })
+	var last time.Duration
+	for from := 0; from < len(calls); {
+		window := calls[from].due / recoveryWindow
+		answered, to := 0, from
+		for ; to < len(calls) && calls[to].due/recoveryWindow == window; to++ {
+			if calls[to].outcome == "answered" {
+				answered++
+			}
+		}
+		if float64(answered) < recovered*float64(to-from) {
+			last = (window + 1) * recoveryWindow
+		}
+		from = to
+	}
+	return last
+}
+
+// BenchmarkOverloadProcesses offers one target less and more than its capacity, with admission and without it. After
+// each overload the load falls to 0.8 of the capacity at once, and recovery-ms is how long calls still fail.
+func BenchmarkOverloadProcesses(b *testing.B) {
+	needPrograms(b)
+	const duration = 3 * time.Second
+	capacity := float64(workerSlots) * float64(time.Second) / float64(workerService)
+	for _, mode := range []struct {
+		name, settings string
+		announced      int
+	}{{"limit", limitsOn, workerSlots}, {"no-limit", limitsOff, noLimit}} {
+		b.Run(mode.name, func(b *testing.B) {
+			f, workers := startWorkers(b, 1, mode.announced, mode.settings)
+			for _, load := range []float64{0.8, 1.5, 2, 5} {
+				b.Run(fmt.Sprintf("load=%.1f", load), func(b *testing.B) {
+					measure(b, f, workers, int(load*capacity), duration)
+				})
+				if load < 1 {
+					continue
+				}
+				b.Run(fmt.Sprintf("load=%.1f/after", load), func(b *testing.B) {
+					calls := measure(b, f, workers, int(0.8*capacity), duration)
+					b.ReportMetric(float64(recovery(calls).Milliseconds()), "recovery-ms")
+				})
+			}
+		})
+	}
+}
+
+// BenchmarkTargetFaults offers three targets half of their capacity while one of them is slow, cold or killed.
+func BenchmarkTargetFaults(b *testing.B) {
+	needPrograms(b)
+	const duration = 5 * time.Second
+	const targets = 3
+	capacity := targets * float64(workerSlots) * float64(time.Second) / float64(workerService)
+	for _, fault := range []struct {
+		name  string
+		begin func(w *worker)
+	}{
+		{"none", func(*worker) {}},
+		{"slow", func(w *worker) { w.service.Store(int64(coldFactor * workerService)) }},
+		{"cold", func(w *worker) { w.warmup.Store(100) }},
+		{"killed", func(w *worker) { time.AfterFunc(duration/5, w.kill) }},
+	} {
+		b.Run(fault.name, func(b *testing.B) {
+			f, workers := startWorkers(b, targets, workerSlots, limitsOn)
+			fault.begin(workers[1])
+			calls := measure(b, f, workers, int(capacity/2), duration)
+			b.ReportMetric(float64(recovery(calls).Milliseconds()), "last-fault-ms")
+		})
+	}
+}
