--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -27,9 +27,6 @@
 // observeInterval is the interval at which the key manager looks at the view.
 const observeInterval = 500 * time.Millisecond
 
-// gcPercent lets the garbage collector run earlier than by default, which keeps resident memory below 32 MB.
-const gcPercent = 40
-
 // Daemon is one node.
 type Daemon struct {
 	settings *settings.Settings
@@ -61,7 +58,7 @@
 // New assembles a daemon and opens its listeners.
 func New(s *settings.Settings) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(collectPercentMin)
 	d := &Daemon{settings: s, started: time.Now()}
 	steps := []func() error{
 		d.openListeners, d.buildLog, d.buildControl, d.buildTraffic, d.buildServers,
@@ -86,6 +83,7 @@
 	d.work.Go(func() { d.syncer.Run(background) })
 	d.work.Go(func() { d.findSeeds(background) })
 	d.work.Go(func() { d.observeKeys(background) })
+	d.work.Go(func() { paceCollector(background) })
 	failed := d.serve(background)
 	log.WithFields(log.Fields{
 		"node": d.settings.Node.Name, "peer": d.settings.Listen.Peer, "ingress": d.settings.Listen.Ingress,
