--- a/server/coordination/control/cluster_test.go
+++ b/server/coordination/control/cluster_test.go
@@ -31,9 +31,13 @@
 	// logDown and cut say what is not reachable.
 	logDown bool
 	cut     func(from, to *node) bool
-	wg      sync.WaitGroup
-	random  *rand.Rand
-	profile profile
+	// deliver and received replace what a follower reads of the log and what a node gets from its parent; nil for
+	// an undisturbed delivery.
+	deliver  func(n *node, at uint64, log []config.Record)
+	received func(n *node, reply *wire.SyncReply)
+	wg       sync.WaitGroup
+	random   *rand.Rand
+	profile  profile
 }
 
 type node struct {
@@ -168,13 +172,17 @@
 	for ctx.Err() == nil {
 		time.Sleep(30 * time.Millisecond)
 		n.cluster.mu.Lock()
-		log, down := n.cluster.log, n.cluster.logDown
+		log, down, deliver := n.cluster.log, n.cluster.logDown, n.cluster.deliver
 		n.cluster.mu.Unlock()
 		if down || !n.loop.Roles().ReadsLog {
 			continue
 		}
 		n.loop.HighestSeen(uint64(len(log)))
-		if at := n.loop.Offset(); at < uint64(len(log)) {
+		at := n.loop.Offset()
+		switch {
+		case deliver != nil:
+			deliver(n, at, log)
+		case at < uint64(len(log)):
 			n.loop.DeliverRecords(log[at:])
 		}
 	}
@@ -199,12 +207,15 @@
 	r, err := to.loop.HandleSync(ctx, &received)
 	time.Sleep(time.Millisecond)
 	n.cluster.mu.Lock()
-	cut = n.cluster.cut
+	cut, disturb := n.cluster.cut, n.cluster.received
 	n.cluster.mu.Unlock()
 	if err != nil || cut(to, n) {
 		return errors.Join(err, silent)
 	}
 	transcode(n.cluster.t, r, reply)
+	if disturb != nil {
+		disturb(n, reply.(*wire.SyncReply))
+	}
 	return nil
 }
 
