--- a/standin/bench/overload_test.go
+++ b/standin/bench/overload_test.go
@@ -25,6 +25,8 @@
 	callersMax = 8000
 	// noLimit is the largest number of slots that a target can announce.
 	noLimit = 4096
+	// manyContents is a number of different requests above what any benchmark sends.
+	manyContents = 1 << 30
 	// recoveryWindow is the time over which the share of answered calls is judged.
 	recoveryWindow = 100 * time.Millisecond
 	// recovered is the share of answered calls in recoveryWindow that counts as recovered.
@@ -131,8 +133,9 @@
 }
 
 // measure offers a load at the first node and reports its outcomes and the runs at targets per call. It returns the
-// calls with the time at which they were due.
-func measure(b *testing.B, f *fleet.Fleet, workers []*worker, rate int, duration time.Duration) []call {
+// calls with the time at which they were due. contents is the number of different requests, which a target that
+// crashes makes suspects one by one.
+func measure(b *testing.B, f *fleet.Fleet, workers []*worker, rate, contents int, duration time.Duration) []call {
 	caller := newOpenCaller(b)
 	url := f.Plans[0].URL(fleet.IngressPort) + "/work"
 	var mu sync.Mutex
@@ -143,7 +146,7 @@
 	r := loadgen.Run(loadgen.Options{
 		Rate: rate, Duration: duration, OutstandingMax: callersMax,
 		Do: func(i int) string {
-			outcome := caller.send(url)
+			outcome := caller.send(fmt.Sprintf("%s?content=%d", url, i%contents))
 			mu.Lock()
 			defer mu.Unlock()
 			calls = append(calls, call{due: time.Duration(i) * interval, end: time.Since(start), outcome: outcome})
@@ -209,13 +212,13 @@
 			})
 			for _, load := range []float64{0.8, 1.5, 2, 5} {
 				b.Run(fmt.Sprintf("load=%.1f", load), func(b *testing.B) {
-					measure(b, f, workers, int(load*capacity), duration)
+					measure(b, f, workers, int(load*capacity), manyContents, duration)
 				})
 				if load < 1 {
 					continue
 				}
 				b.Run(fmt.Sprintf("load=%.1f/after", load), func(b *testing.B) {
-					calls := measure(b, f, workers, int(0.8*capacity), duration)
+					calls := measure(b, f, workers, int(0.8*capacity), manyContents, duration)
 					b.ReportMetric(float64(recovery(calls).Milliseconds()), "recovery-ms")
 				})
 			}
@@ -230,20 +233,22 @@
 	const targets = 3
 	capacity := targets * float64(workerSlots) * float64(time.Second) / float64(workerService)
 	for _, fault := range []struct {
-		name  string
-		begin func(w *worker)
+		name     string
+		contents int
+		begin    func(w *worker)
 	}{
-		{"none", func(*worker) {}},
-		{"slow", func(w *worker) { w.service.Store(int64(coldFactor * workerService)) }},
-		{"cold", func(w *worker) { w.warmup.Store(100) }},
-		{"killed", func(w *worker) { time.AfterFunc(duration/5, w.kill) }},
+		{"none", manyContents, func(*worker) {}},
+		{"slow", manyContents, func(w *worker) { w.service.Store(int64(coldFactor * workerService)) }},
+		{"cold", manyContents, func(w *worker) { w.warmup.Store(100) }},
+		{"killed", manyContents, func(w *worker) { time.AfterFunc(duration/5, w.kill) }},
+		{"killed-same-content", 1, func(w *worker) { time.AfterFunc(duration/5, w.kill) }},
 	} {
 		b.Run(fault.name, func(b *testing.B) {
 			f, workers := startWorkers(b, workerFleet{
 				nodes: targets, announced: workerSlots, settings: limitsOn, service: workerService,
 			})
 			fault.begin(workers[1])
-			calls := measure(b, f, workers, int(capacity/2), duration)
+			calls := measure(b, f, workers, int(capacity/2), fault.contents, duration)
 			b.ReportMetric(float64(recovery(calls).Milliseconds()), "last-fault-ms")
 		})
 	}
