--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -74,7 +74,7 @@
 	return section("fanout",
 		choice("mode", &f.Mode, FanoutTree, "tree, or flat for a small fleet in which every node follows the log", FanoutTree, FanoutFlat),
 		integer("followers_per_domain", &f.FollowersPerDomain, "2", 2, 16, "log followers in each failure domain; two watch each other"),
-		integer("relay_children", &f.RelayChildren, "24", 2, 1000, "children that a relay serves"),
+		integer("relay_children", &f.RelayChildren, "16", 2, 1000, "children that a relay serves"),
 		duration("sync_hold", &f.SyncHold, "1s", 50*time.Millisecond, 30*time.Second, "how long a parent keeps a poll open").profiled("3s"),
 		duration("coalesce_window", &f.CoalesceWindow, "20ms", 0, 5*time.Second, "how long a parent collects changes before it answers").profiled("500ms"),
 		rate("sync_admission_rate", &f.SyncAdmissionRate, "50/s", 1, 10000, "new children that a parent admits"),
