Guard the view of the exchange tests

Cause: make check reported data races in the exchange tests: the ingress observes its view in the background since it remembers changed routes, and the fixture changed nodes, entries and the hidden node without a lock. Ruled out: the product code, which publishes views by an atomic pointer. Change: the fixture locks its maps and switches the hidden node atomically. Measured: go test -race -run 'Exchange|LateReply' ./daemon passes. Conclusion: no check was changed.

--- a/server/daemon/exchange_mesh_test.go
+++ b/server/daemon/exchange_mesh_test.go
@@ -11,6 +11,7 @@
 	"net/rpc"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,7 +57,7 @@
 	exec    *execute.Executor
 	handler *ingress.Handler
 	// hidden is a node that the ingress of this node does not know yet.
-	hidden string
+	hidden atomic.Pointer[string]
 	// stop ends the node and waits for every run that it started.
 	stop func()
 }
@@ -67,7 +68,11 @@
 		hold: make(map[string]chan struct{}), started: make(chan string, 64),
 	}
 	for i, name := range names {
-		m.nodes = append(m.nodes, m.startNode(name, uint64(i)))
+		n := m.startNode(name, uint64(i))
+		// The handlers of the nodes before look at the view already.
+		m.mu.Lock()
+		m.nodes = append(m.nodes, n)
+		m.mu.Unlock()
 	}
 	for _, n := range m.nodes {
 		n.update(func(e *endpoint.Entry) { e.State = endpoint.Alive })
@@ -88,12 +93,14 @@
 		link: newLink(m.t, listener.Addr().String()),
 		pool: peer.NewPool(credential, limits),
 	}
+	m.mu.Lock()
 	m.entries[name] = endpoint.Entry{
 		Node: name, Key: endpoint.Key{Incarnation: 1, Revision: 1}, Address: n.link.address,
 		FailureDomain: "quimper", Region: "bretagne", Service: exchangeService, Slots: 18,
 		TargetAddress: target.Listener.Addr().String(),
 	}
-	n.build(seed)
+	m.mu.Unlock()
+	n.build(seed, target.Listener.Addr().String())
 	r := rpc.NewServer()
 	assert.NilError(m.t, r.RegisterName(wire.ServiceNode, n.exec.Receiver()))
 	assert.NilError(m.t, r.RegisterName(wire.ServiceOwnership, n.keys.Receiver()))
@@ -114,11 +121,11 @@
 	return n
 }
 
-func (n *exchangeNode) build(seed uint64) {
+func (n *exchangeNode) build(seed uint64, target string) {
 	settings := ownership.DefaultSettings(n.name)
 	settings.RetryInterval = 10 * time.Millisecond
 	n.keys = ownership.New(settings, ownership.Deps{
-		View:         func() *view.View { return n.mesh.view("") },
+		View:         func() *view.View { return n.mesh.view(nil) },
 		ContactAge:   func() time.Duration { return 0 },
 		UpdateSelf:   n.update,
 		Call:         n.pool.Call,
@@ -135,12 +142,12 @@
 			DialTimeout: time.Second, ConnectionsPerHost: 32, IdleTimeout: time.Minute, BodyMaxBytes: 1 << 20,
 		},
 	}, execute.Dependencies{
-		View: func() *view.View { return n.mesh.view("") }, Keys: keyAdapter{n.keys}, UpdateSelf: n.update,
+		View: func() *view.View { return n.mesh.view(nil) }, Keys: keyAdapter{n.keys}, UpdateSelf: n.update,
 		Log: &log.Logger{Handler: discard.New()},
 	})
 	assert.NilError(n.mesh.t, err)
 	n.exec.SetTarget(execute.Target{
-		Service: exchangeService, Address: n.mesh.entries[n.name].TargetAddress, Slots: 18, Start: "1",
+		Service: exchangeService, Address: target, Slots: 18, Start: "1",
 	})
 	n.buildIngress(seed)
 }
@@ -154,7 +161,7 @@
 	var mu sync.Mutex
 	var err error
 	n.handler, err = ingress.New(in, ingress.Dependencies{
-		View: func() *view.View { return n.mesh.view(n.hidden) }, Call: n.pool.Call, Local: n.exec.Execute,
+		View: func() *view.View { return n.mesh.view(n.hidden.Load()) }, Call: n.pool.Call, Local: n.exec.Execute,
 		Resolver: resolver{n.keys}, FirstAttemptID: 1000,
 		Random: func() uint64 {
 			mu.Lock()
@@ -176,7 +183,7 @@
 }
 
 // view returns the view of the mesh without one node.
-func (m *exchange) view(hidden string) *view.View {
+func (m *exchange) view(hidden *string) *view.View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := &view.View{
@@ -192,7 +199,7 @@
 		Nodes:     make(map[string]*endpoint.Entry),
 	}
 	for _, n := range m.nodes {
-		if e, known := m.entries[n.name]; known && n.name != hidden {
+		if e, known := m.entries[n.name]; known && (hidden == nil || n.name != *hidden) {
 			v.ByService[exchangeService] = append(v.ByService[exchangeService], &e)
 			v.Nodes[e.Node] = &e
 		}
--- a/server/daemon/exchange_test.go
+++ b/server/daemon/exchange_test.go
@@ -134,7 +134,7 @@
 func testExchangeFault(t *testing.T, fault linkFault, kind, deadline string) {
 	m := newExchange(t, "a", "b", "c")
 	entry, b, c := m.nodes[0], m.nodes[1], m.nodes[2]
-	entry.hidden = entry.name
+	entry.hidden.Store(&entry.name)
 	entry.connect(b, c)
 	call := &exchangeCall{kind: kind, path: "/faulty"}
 	if kind == callerKeyKind {
@@ -175,7 +175,7 @@
 		t.Run(kind, func(t *testing.T) {
 			m := newExchange(t, "a", "b")
 			entry := m.nodes[0]
-			entry.hidden = entry.name
+			entry.hidden.Store(&entry.name)
 			release := make(chan struct{})
 			m.hold["/gone"] = release
 			gone := &exchangeCall{kind: kind, path: "/gone"}
@@ -221,7 +221,7 @@
 		n := m.nodes[random.IntN(3)]
 		n.link.arm(linkFault(random.IntN(int(refused) + 1)))
 		entry := m.nodes[random.IntN(3)]
-		entry.hidden = []string{"", "a", "b", "c"}[random.IntN(4)]
+		entry.hidden.Store(&[]string{"", "a", "b", "c"}[random.IntN(4)])
 		calls = append(calls, m.sendBatch(random, batch)...)
 		for _, n := range m.nodes {
 			n.link.release()
