Leave as planned only after a complete hand-over

Change: without a complete hand-over the node ends without a word and is declared dead, so its keys keep their place.

--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -120,8 +120,12 @@
 	note("drain target", d.announce.Shutdown(ctx))
 	note("finish callers' requests", d.ingress.Shutdown(ctx))
 	note("finish the hand-over of key records", d.keys.Drained(ctx))
+	// Without a complete hand-over the node must not leave as planned: others would take its keys for handed over.
+	handedOver := len(errs) == 0
 	note("finish operators' calls", d.listeners.finishOperators(ctx))
-	note("announce the end of the node", d.announceLeft(ctx))
+	if handedOver {
+		note("announce the end of the node", d.announceLeft(ctx))
+	}
 	stopBackground()
 	d.endFollowing()
 	d.listeners.shutdown(ctx)
