End all processes when the demonstration is interrupted

Ruled out: HOLD=1, which waits for the signal and stops them. Change: the fleet remembers every process that it started; a signal ends them and then the demonstration. Conclusion: there is no automatic test of it; it was tried by hand.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -45,7 +45,11 @@
 		return err
 	}
 	m := &mesh{f}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go endOnSignal(f, interrupted)
 	err = m.demonstrate()
+	signal.Stop(interrupted)
 	if options.Hold {
 		if err != nil {
 			fmt.Println("failed:", err)
@@ -65,6 +69,13 @@
 	return os.RemoveAll(dir)
 }
 
+// endOnSignal ends all processes and this one, so that an interrupted demonstration leaves none behind.
+func endOnSignal(f *fleet.Fleet, interrupted <-chan os.Signal) {
+	<-interrupted
+	f.KillAll()
+	os.Exit(1)
+}
+
 // settings shorten the times of failure detection, so that the scenario is short.
 const settings = `[membership]
 suspect_after = 500ms
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -61,6 +61,10 @@
 	Nodes   map[string]*Process
 	Targets map[string]*Process
 	HTTP    *HTTPClient
+
+	mu sync.Mutex
+	// started are all processes, for an end at any time.
+	started []*Process
 }
 
 // Network returns the first two parts of the loopback addresses, which depend on the process id, so that two runs at
@@ -126,7 +130,7 @@
 func (f *Fleet) StartLog() error {
 	args := append([]string{"--listen", fmt.Sprintf("%s:%d", f.LogIP, LogPort)}, f.LogArgs...)
 	var err error
-	f.Log, err = StartProcess(f.Dir, "log", filepath.Join(f.Bin, "logservice"), args...)
+	f.Log, err = f.run("log", filepath.Join(f.Bin, "logservice"), args...)
 	return err
 }
 
@@ -137,14 +141,14 @@
 		return err
 	}
 	var err error
-	if f.Nodes[p.Name], err = StartProcess(f.Dir, p.Name, filepath.Join(f.Bin, "wagtaild"), "run", file); err != nil {
+	if f.Nodes[p.Name], err = f.run(p.Name, filepath.Join(f.Bin, "wagtaild"), "run", file); err != nil {
 		return err
 	}
 	if !f.WithTargets {
 		return nil
 	}
 	name := "target-" + p.Name
-	f.Targets[p.Name], err = StartProcess(f.Dir, name, filepath.Join(f.Bin, "target"),
+	f.Targets[p.Name], err = f.run(name, filepath.Join(f.Bin, "target"),
 		"--name", name, "--service", p.Service, "--listen", p.Address(TargetPort), "--announce", p.URL(AnnouncePort))
 	return err
 }
@@ -220,16 +224,25 @@
 	return errs
 }
 
-// KillAll ends every process with SIGKILL, for the end of a measurement in which nothing depends on the order.
+// KillAll ends every process with SIGKILL: at the end of a measurement, or when the starting process is interrupted.
 func (f *Fleet) KillAll() {
-	for _, group := range []map[string]*Process{f.Targets, f.Nodes} {
-		for _, p := range group {
-			p.Kill()
-		}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.started {
+		// A process that has ended already is no error here.
+		_ = p.cmd.Process.Kill()
 	}
-	if f.Log != nil {
-		f.Log.Kill()
+}
+
+// run starts a process and remembers it.
+func (f *Fleet) run(name, path string, args ...string) (*Process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, err := StartProcess(f.Dir, name, path, args...)
+	if err == nil {
+		f.started = append(f.started, p)
 	}
+	return p, err
 }
 
 // Describe lists every process with its addresses.
