--- a/server/cmd/wagtaild/main.go
+++ b/server/cmd/wagtaild/main.go
@@ -8,13 +8,14 @@
 	"os/signal"
 	"syscall"
 
+	"wagtailford.example/platform"
 	"wagtailford.example/server/daemon/command"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := command.New().ExecuteContext(ctx); err != nil {
+	if err := command.New(platform.Open).ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "wagtaild:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/server/coordination/announce/registrar.go
@@ -0,0 +1,164 @@
+package announce
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// RegistrarSettings are the settings of a Registrar.
+type RegistrarSettings struct {
+	// Lease is the time without a report after which the target counts as gone.
+	Lease time.Duration
+	// SlowStart is the time over which other nodes give a cold target its full share.
+	SlowStart time.Duration
+	// Service is the service of the target before its first report.
+	Service string
+}
+
+// TargetRunner runs requests at the target. *execute.Executor implements it.
+type TargetRunner interface {
+	SetTarget(execute.Target)
+}
+
+// ErrIncomplete means that a report lacks a field without which the target cannot be used.
+var ErrIncomplete = errors.New("incomplete report")
+
+// Registrar keeps the registration of the target beside the node by the reports that the target sends.
+type Registrar struct {
+	settings   RegistrarSettings
+	runner     TargetRunner
+	updateSelf func(func(*endpoint.Entry))
+	logger     log.Interface
+
+	mu      sync.Mutex
+	current Registration
+	// stopping is true when the node takes no new work for its target.
+	stopping bool
+}
+
+// NewRegistrar returns a registrar that knows no target.
+func NewRegistrar(s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), logger log.Interface) *Registrar {
+	return &Registrar{settings: s, runner: runner, updateSelf: updateSelf, logger: logger}
+}
+
+// Run lets a silent target lapse until ctx ends.
+func (r *Registrar) Run(ctx context.Context) {
+	ticker := time.NewTicker(max(r.settings.Lease/4, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.change("lapsed", func(current Registration) (Registration, Verdict) {
+				return current.Expire(now, r.settings.Lease)
+			})
+		}
+	}
+}
+
+// Take takes a report. When it returns, the executing side acts on the report, so it may be acknowledged. The error
+// is ErrIncomplete if the report names no usable target; a late one is no error.
+func (r *Registrar) Take(report Report) error {
+	if report.Instance == "" || report.Service == "" || report.Address == "" || report.BornMS <= 0 {
+		return ErrIncomplete
+	}
+	now := time.Now()
+	r.change("report", func(current Registration) (Registration, Verdict) { return current.Take(report, now) })
+	return nil
+}
+
+// Leave takes the end of a target. When it returns, no new request is sent to it.
+func (r *Registrar) Leave(instance string) {
+	now := time.Now()
+	r.change("leave", func(current Registration) (Registration, Verdict) { return current.Leave(instance, now) })
+}
+
+// Stop refuses new work for the target, because the node ends.
+func (r *Registrar) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+	r.publish()
+}
+
+// Service returns the service of the target beside the node, also of one that leaves.
+func (r *Registrar) Service() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current.Report.Service != "" {
+		return r.current.Report.Service
+	}
+	return r.settings.Service
+}
+
+// Current returns the registration.
+func (r *Registrar) Current() Registration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current
+}
+
+func (r *Registrar) change(event string, decide func(Registration) (Registration, Verdict)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next, verdict := decide(r.current)
+	r.current = next
+	if verdict == Late {
+		r.logger.WithFields(log.Fields{
+			"event": "target_" + event, "instance": next.Report.Instance, "sequence": next.Report.Sequence, "outcome": "late",
+		}).Debug("late report ignored")
+		return
+	}
+	if verdict == Renewed {
+		return
+	}
+	r.publish()
+	r.logger.WithFields(log.Fields{
+		"event": "target_" + event, "instance": next.Report.Instance, "born_ms": next.Report.BornMS,
+		"sequence": next.Report.Sequence, "service": next.Report.Service, "state": next.State.String(),
+	}).Info("target changed")
+}
+
+// publish makes the registration known to the executing side, which has the last word, and then to the other nodes.
+func (r *Registrar) publish() {
+	c := r.current
+	target := execute.Target{
+		Service:  c.Report.Service,
+		Address:  c.Report.Address,
+		Instance: c.Report.Instance,
+		Slots:    c.Report.Slots,
+		Started:  time.UnixMilli(c.Report.BornMS),
+		Start:    c.Report.Instance + "/" + strconv.FormatInt(c.Report.BornMS, 10),
+	}
+	state := c.State
+	switch {
+	case r.stopping:
+		target.Refuse = outcome.ReasonShutdown
+		state = min(state, endpoint.Draining)
+		if state == endpoint.Alive {
+			state = endpoint.Draining
+		}
+	case c.State == endpoint.Draining:
+		target.Refuse = outcome.ReasonDraining
+	case c.State == endpoint.NoTarget:
+		target.Refuse = outcome.ReasonNoTarget
+	}
+	r.runner.SetTarget(target)
+	r.updateSelf(func(e *endpoint.Entry) {
+		e.State = state
+		e.Service = c.Report.Service
+		e.TargetAddress = c.Report.Address
+		e.Slots = c.Report.Slots
+		e.StartedMS = c.WarmAt.Add(-r.settings.SlowStart).UnixMilli()
+	})
+}
--- /dev/null
+++ b/server/coordination/announce/registration.go
@@ -0,0 +1,118 @@
+package announce
+
+import (
+	"time"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Report is what a target says of itself at intervals.
+type Report struct {
+	// Instance names one start of the target, mostly; a target may start again under the same name.
+	Instance string
+	// BornMS is the start of the target's process, Unix milliseconds, by the clock of its VM.
+	BornMS int64
+	// Sequence counts the reports of one process.
+	Sequence uint64
+	Service  string
+	Address  string
+	// SoftwareVersion is the version of the application.
+	SoftwareVersion string
+	Slots           int
+	Draining        bool
+	// ColdLeft is how long the target remains slow after its start.
+	ColdLeft time.Duration
+}
+
+// Verdict says what a report changed.
+type Verdict uint8
+
+// Verdicts on a report.
+const (
+	// Late means that a newer report or a newer process was known already; nothing changed.
+	Late Verdict = iota
+	// Renewed means that only the time of the last report changed.
+	Renewed
+	// Changed means that the state of the target changed.
+	Changed
+	// Replaced means that another process of a target took the place.
+	Replaced
+)
+
+// Registration is what the node knows of the target beside it. It is a value; every event returns the next one.
+type Registration struct {
+	Report Report
+	// State is NoTarget, Alive or Draining.
+	State endpoint.State
+	// Leaving is true once the process said that it leaves. That binds for the rest of its life.
+	Leaving bool
+	// Heard is the time of the last report.
+	Heard time.Time
+	// WarmAt is the time from which the target is at full speed.
+	WarmAt time.Time
+}
+
+// Take returns the registration after a report. Reports are ordered by the start of the process and then by their
+// sequence, since one that was held up may arrive after a report of the next process.
+func (r Registration) Take(report Report, now time.Time) (Registration, Verdict) {
+	if r.State != endpoint.NoTarget || r.Report.Instance != "" {
+		if report.BornMS < r.Report.BornMS {
+			return r, Late
+		}
+		if report.BornMS == r.Report.BornMS {
+			return r.renew(report, now)
+		}
+	}
+	return registered(report, now), Replaced
+}
+
+// renew takes a report of the process that is known.
+func (r Registration) renew(report Report, now time.Time) (Registration, Verdict) {
+	if report.Instance != r.Report.Instance || report.Sequence <= r.Report.Sequence {
+		return r, Late
+	}
+	report.Draining = report.Draining || r.Leaving
+	next := registered(report, now)
+	unchanged := report
+	unchanged.Sequence, unchanged.ColdLeft = r.Report.Sequence, r.Report.ColdLeft
+	if unchanged == r.Report && next.State == r.State {
+		next.WarmAt = r.WarmAt
+		return next, Renewed
+	}
+	return next, Changed
+}
+
+func registered(report Report, now time.Time) Registration {
+	r := Registration{Report: report, State: endpoint.Alive, Heard: now, WarmAt: now.Add(report.ColdLeft)}
+	if report.Draining {
+		r.State = endpoint.Draining
+		r.Leaving = true
+	}
+	return r
+}
+
+// Leave returns the registration after the target said that it leaves. It serves on for a while, so the requests in
+// flight end as usual.
+func (r Registration) Leave(instance string, now time.Time) (Registration, Verdict) {
+	if r.Report.Instance != instance || r.State == endpoint.NoTarget {
+		return r, Late
+	}
+	if r.State == endpoint.Draining {
+		return r, Renewed
+	}
+	r.State = endpoint.Draining
+	r.Leaving = true
+	r.Report.Draining = true
+	r.Heard = now
+	return r, Changed
+}
+
+// Expire returns the registration at a time at which no report came: a silent target gets no work until it reports
+// again.
+func (r Registration) Expire(now time.Time, lease time.Duration) (Registration, Verdict) {
+	if r.State == endpoint.NoTarget || now.Sub(r.Heard) < lease {
+		return r, Renewed
+	}
+	r.State = endpoint.NoTarget
+	return r, Changed
+}
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -243,6 +243,23 @@
 	return l.do(context.Background(), func() { l.install(state) })
 }
 
+// InstallWhole installs a configuration that was published whole, if its offset is higher than the current one. The
+// error is a *config.InvalidError; nothing of an invalid configuration is installed.
+func (l *Loop) InstallWhole(w *config.Whole) error {
+	state, err := config.FromWhole(w)
+	if err != nil {
+		return err
+	}
+	return l.do(context.Background(), func() {
+		l.contacted = true
+		// A publisher that starts over must not take the fleet back.
+		if w.Sequence > l.state.Load().Sequence() {
+			l.install(state)
+		}
+		l.updateReady()
+	})
+}
+
 // EncodeSnapshot returns the current offset and the encoded state at it.
 func (l *Loop) EncodeSnapshot() (uint64, []byte, error) {
 	state := l.state.Load()
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -31,6 +31,8 @@
 	Suspects  suspect.Limits
 	// Client limits the connections to the target. Its IdleTimeout has to be below the idle timeout of the target.
 	Client httpclient.Limits
+	// Dialect is how requests and answers look to the target; nil means the product's own.
+	Dialect Dialect
 }
 
 // Keys decides on requests that have an idempotency key. Begin is called when the request holds a slot. If run is
@@ -57,6 +59,8 @@
 	Service string
 	// Address is host:port; empty if no target has announced itself.
 	Address string
+	// Instance identifies one start of the target towards the target itself; empty if it has no such name.
+	Instance string
 	// Slots is the number of requests that the target takes at a time; 0 means the default.
 	Slots int
 	// Started is the time from which slow start counts.
@@ -112,6 +116,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("set up executor: %w", err)
 	}
+	if s.Dialect == nil {
+		s.Dialect = plainDialect{}
+	}
 	pool, err := ants.NewPool(s.Workers, ants.WithNonblocking(true), ants.WithPanicHandler(func(p any) { panic(p) }))
 	if err != nil {
 		return nil, fmt.Errorf("set up executor with %d workers: %w", s.Workers, err)
--- a/server/coordination/execute/headers.go
+++ b/server/coordination/execute/headers.go
@@ -1,7 +1,6 @@
 package execute
 
 import (
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -24,29 +23,8 @@
 	HeaderKey = "Idempotency-Key"
 )
 
-// hopByHop are the headers of RFC 9110, section 7.6.1, that concern one connection only, and those that the codec
-// writes itself. Expect is among them because the body is always sent with the headers.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Proxy-Connection":    true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Expect":              true,
-	"Content-Length":      true,
-}
-
 // own are the headers that this node writes.
-var own = map[string]bool{
-	HeaderDeadline: true,
-	HeaderAttempts: true,
-	HeaderDepth:    true,
-	HeaderKey:      true,
-}
+var own = wire.NameSet(HeaderDeadline, HeaderAttempts, HeaderDepth, HeaderKey)
 
 // check refuses a request that could not be written as one HTTP/1.1 request.
 func check(r *wire.Request) outcome.Reason {
@@ -87,40 +65,18 @@
 	return !strings.ContainsAny(s, "\r\n\x00")
 }
 
-// connectionHeaders returns the header names that the values of Connection declare as hop-by-hop.
-func connectionHeaders(headers []wire.Header) map[string]bool {
-	var names map[string]bool
-	for _, h := range headers {
-		if !strings.EqualFold(h.Name, "Connection") {
-			continue
-		}
-		for name := range strings.SplitSeq(h.Value, ",") {
-			if names == nil {
-				names = make(map[string]bool)
-			}
-			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return names
-}
-
 // fillRequest builds the request to the target. The path is sent as the caller wrote it.
 func fillRequest(req *protocol.Request, r *wire.Request, target Target, remaining time.Duration) {
 	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURI(r.Path)
 	req.Header.SetHost(target.Address)
-	dropped := connectionHeaders(r.Headers)
-	for _, h := range r.Headers {
-		name := textproto.CanonicalMIMEHeaderKey(h.Name)
-		if hopByHop[name] || own[name] || dropped[name] {
-			continue
-		}
-		if name == "Host" {
+	for _, h := range wire.Forwarded(r.Headers, own) {
+		if h.Name == "Host" {
 			req.Header.SetHost(h.Value)
 			continue
 		}
-		req.Header.Add(name, h.Value)
+		req.Header.Add(h.Name, h.Value)
 	}
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 0), 10))
 	req.Header.Set(HeaderAttempts, strconv.Itoa(r.Attempts))
@@ -140,13 +96,5 @@
 	resp.Header.VisitAll(func(name, value []byte) {
 		all = append(all, wire.Header{Name: string(name), Value: string(value)})
 	})
-	dropped := connectionHeaders(all)
-	kept := all[:0]
-	for _, h := range all {
-		name := textproto.CanonicalMIMEHeaderKey(h.Name)
-		if !hopByHop[name] && !dropped[name] {
-			kept = append(kept, h)
-		}
-	}
-	return kept
+	return wire.Forwarded(all, nil)
 }
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -25,14 +25,33 @@
 	defer protocol.ReleaseResponse(resp)
 	deadline, _ := ctx.Deadline()
 	remaining := time.Until(deadline)
-	fillRequest(req, r, target, remaining)
+	dialect := e.settings.Dialect
+	dialect.Write(req, r, target, remaining)
 	f := e.crashes.start(digest, alone)
-	err := e.client.DoAddress(ctx, target.Address, req, resp, remaining)
-	if err == nil {
+	foreign := func(resp *protocol.Response) bool { return dialect.Read(r, resp) == Foreign }
+	err := e.client.DoSkip(ctx, target.Address, req, resp, remaining, foreign)
+	if err != nil {
+		return e.failed(err, f, target.Address)
+	}
+	switch dialect.Read(r, resp) {
+	case Shed:
+		e.crashes.end(f)
+		return arrived(refused(outcome.ReasonTargetFull))
+	case OtherInstance:
+		e.crashes.end(f)
+		return arrived(refused(outcome.ReasonTargetReplaced))
+	case Spoiled:
 		e.crashes.complete(f, e.othersIndex().Latest(f.digest))
-		return answered(resp)
+		return arrived(unknown(outcome.ReasonAnswerCut))
 	}
-	return e.failed(err, f, target.Address)
+	e.crashes.complete(f, e.othersIndex().Latest(f.digest))
+	return arrived(answered(resp))
+}
+
+// arrived notes that the target may have seen the request.
+func arrived(r *wire.Response) *wire.Response {
+	r.Arrived = true
+	return r
 }
 
 // failed says what became of a request without a whole response.
@@ -44,20 +63,20 @@
 	}
 	if errors.Is(err, httpclient.ErrTooLarge) {
 		e.crashes.complete(f, e.othersIndex().Latest(f.digest))
-		return unknown(outcome.ReasonAnswerDropped)
+		return arrived(unknown(outcome.ReasonAnswerDropped))
 	}
 	if reason := contextReason(err); reason != outcome.ReasonNone {
 		e.crashes.end(f)
-		return unknown(reason)
+		return arrived(unknown(reason))
 	}
 	verdict := e.crashes.broke(f, address)
 	if verdict.first {
 		e.crashed(address)
 	}
 	if verdict.crashed {
-		return unknown(outcome.ReasonTargetCrashed)
+		return arrived(unknown(outcome.ReasonTargetCrashed))
 	}
-	return unknown(outcome.ReasonAnswerCut)
+	return arrived(unknown(outcome.ReasonAnswerCut))
 }
 
 // crashed reports a crash that was found by a request.
--- /dev/null
+++ b/server/coordination/follow/whole.go
@@ -0,0 +1,155 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cenkalti/backoff/v5"
+
+	"wagtailford.example/server/state/config"
+)
+
+// Source publishes whole configurations. Its implementation is safe for use by one goroutine at a time.
+type Source interface {
+	// Next returns the newest configuration whose offset is above after. It waits for one at most for wait, and
+	// returns nil if there is none by then. A publication that cannot be decoded is an *UnreadableError.
+	Next(ctx context.Context, after uint64, wait time.Duration) (*config.Whole, error)
+}
+
+// UnreadableError means that a publication was read and cannot be used.
+type UnreadableError struct {
+	Offset uint64
+	Cause  error
+}
+
+func (e *UnreadableError) Error() string { return "unreadable configuration: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Cause }
+
+// WholeSink installs configurations. *control.Loop implements it.
+type WholeSink interface {
+	Offset() uint64
+	InstallWhole(w *config.Whole) error
+}
+
+// WholeSettings control a WholeFollower.
+type WholeSettings struct {
+	// PollWait is how long the source is asked to wait for a publication.
+	PollWait time.Duration
+	// RetryMin and RetryMax bound the delay after a failed read.
+	RetryMin, RetryMax time.Duration
+	// Pause is the time between two reads that found something, so that publications in quick succession are
+	// read together.
+	Pause time.Duration
+}
+
+// WholeCounters count the reads of a WholeFollower.
+type WholeCounters struct {
+	Reads, FailedReads, Installed, Rejected atomic.Int64
+}
+
+// WholeFollower reads whole configurations from a source into a sink.
+type WholeFollower struct {
+	Counters WholeCounters
+
+	source   Source
+	sink     WholeSink
+	settings WholeSettings
+	logger   log.Interface
+	// passed is the highest offset that was read, installed or not.
+	passed uint64
+	// failing is true from a failed read to the next one that succeeds.
+	failing bool
+}
+
+// NewWhole returns a follower that does not run yet.
+func NewWhole(source Source, sink WholeSink, settings WholeSettings, logger log.Interface) *WholeFollower {
+	return &WholeFollower{source: source, sink: sink, settings: settings, logger: logger}
+}
+
+// Run reads until ctx ends.
+func (f *WholeFollower) Run(ctx context.Context) {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = f.settings.RetryMin
+	delays.MaxInterval = f.settings.RetryMax
+	delays.RandomizationFactor = retryJitter
+	for ctx.Err() == nil {
+		delay := f.settings.Pause
+		found, err := f.read(ctx)
+		switch {
+		case err != nil:
+			delay = delays.NextBackOff()
+		case !found:
+			delays.Reset()
+			continue
+		default:
+			delays.Reset()
+		}
+		sleep(ctx, delay)
+	}
+}
+
+// read reads once and reports whether there was a publication.
+func (f *WholeFollower) read(ctx context.Context) (bool, error) {
+	// A peer may have delivered a newer configuration than the last one read here.
+	f.passed = max(f.passed, f.sink.Offset())
+	f.Counters.Reads.Add(1)
+	w, err := f.source.Next(ctx, f.passed, f.settings.PollWait)
+	var unreadable *UnreadableError
+	if errors.As(err, &unreadable) {
+		f.reachable()
+		f.reject(unreadable.Offset, err)
+		return true, nil
+	}
+	if err != nil {
+		f.lost(ctx, err)
+		return false, err
+	}
+	f.reachable()
+	if w == nil {
+		return false, nil
+	}
+	if err := f.sink.InstallWhole(w); err != nil {
+		f.reject(w.Offset, err)
+		return true, nil
+	}
+	f.passed = max(f.passed, w.Offset)
+	f.Counters.Installed.Add(1)
+	f.logger.WithFields(log.Fields{
+		"event": "configuration", "version": w.Offset, "sequence": w.Sequence, "routes": len(w.Content.Routes),
+	}).Info("configuration in force")
+	return true, nil
+}
+
+// reject passes a publication over; the configuration in force stays.
+func (f *WholeFollower) reject(offset uint64, err error) {
+	f.passed = max(f.passed, offset)
+	f.Counters.Rejected.Add(1)
+	f.logger.WithError(err).WithFields(log.Fields{"event": "configuration_rejected", "version": offset}).
+		Warn("published configuration rejected")
+}
+
+func (f *WholeFollower) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.Counters.FailedReads.Add(1)
+	if f.failing {
+		return
+	}
+	f.failing = true
+	f.logger.WithError(err).WithField("event", "dependency_lost").Warn("configuration source not reachable")
+}
+
+func (f *WholeFollower) reachable() {
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	f.logger.WithField("event", "dependency_regained").Info("configuration source reachable again")
+}
+
--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -95,10 +95,10 @@
 	header.SetNoDefaultContentType(true)
 	c.SetStatusCode(outcome.HTTPStatus(r.Outcome, r.Reason, r.Status))
 	if r.Outcome == outcome.Answered {
-		for _, field := range forwarded(r.Headers, responseDropped) {
+		for _, field := range wire.Forwarded(r.Headers, responseDropped) {
 			header.Add(field.Name, field.Value)
 		}
-		setBody(c, r)
+		httpserver.SetBody(c, r.Body, statedLength(r.Headers))
 		header.Set(outcome.HeaderOutcome, r.Outcome.String())
 		return
 	}
@@ -114,20 +114,6 @@
 	c.Response.SetBodyString(statement(r.Response))
 }
 
-// setBody passes the body on. An empty one is set as a stream, because the library puts its own text in place of an
-// empty body with status 404 otherwise.
-func setBody(c *app.RequestContext, r *Result) {
-	if len(r.Body) > 0 {
-		c.Response.SetBodyRaw(r.Body)
-		return
-	}
-	length := 0
-	if string(c.Request.Method()) == "HEAD" {
-		length = statedLength(r.Headers)
-	}
-	c.Response.SetBodyStream(bytes.NewReader(nil), length)
-}
-
 // statedLength is the length that a target states in its response to HEAD, which has no body to measure.
 func statedLength(headers []wire.Header) int {
 	for _, field := range headers {
--- a/server/coordination/ingress/request.go
+++ b/server/coordination/ingress/request.go
@@ -148,7 +148,7 @@
 			From:    h.settings.Node,
 			Method:  r.Method,
 			Path:    r.Path,
-			Headers: forwarded(r.Headers, requestDropped),
+			Headers: wire.Forwarded(r.Headers, requestDropped),
 			Body:    r.Body,
 			Depth:   chain.Depth + 1,
 		},
--- a/server/coordination/routing/match.go
+++ b/server/coordination/routing/match.go
@@ -2,6 +2,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -17,6 +18,8 @@
 	content *config.Content
 	// callers maps a caller identity to its routes by path prefix without a trailing slash.
 	callers map[string]map[string]*config.Route
+	// hosts maps a host to its routes by path prefix with the trailing slash.
+	hosts map[string]map[string]*config.Route
 }
 
 // compiled holds the matchers used last, newest first. The slice is replaced as a whole.
@@ -40,6 +43,26 @@
 	return route, route != nil
 }
 
+// MatchHost returns the route of a host whose path prefix is the longest one that the path, as the caller wrote it,
+// begins with.
+func MatchHost(content *config.Content, host, path string) (*config.Route, bool) {
+	if content == nil {
+		return nil, false
+	}
+	prefixes := matcherFor(content).hosts[host]
+	for len(prefixes) > 0 {
+		cut := strings.LastIndexByte(path, '/')
+		if cut < 0 {
+			break
+		}
+		if route, ok := prefixes[path[:cut+1]]; ok {
+			return route, true
+		}
+		path = path[:cut]
+	}
+	return nil, false
+}
+
 func matcherFor(content *config.Content) *Matcher {
 	old := compiled.Load()
 	if old != nil {
@@ -61,19 +84,29 @@
 
 // NewMatcher compiles the routes of a content, which must not be nil.
 func NewMatcher(content *config.Content) *Matcher {
-	m := &Matcher{content: content, callers: make(map[string]map[string]*config.Route)}
+	m := &Matcher{
+		content: content,
+		callers: make(map[string]map[string]*config.Route),
+		hosts:   make(map[string]map[string]*config.Route),
+	}
 	for i := range content.Routes {
 		route := &content.Routes[i]
-		prefixes := m.callers[route.Caller]
-		if prefixes == nil {
-			prefixes = make(map[string]*config.Route)
-			m.callers[route.Caller] = prefixes
+		if route.Host != "" {
+			add(m.hosts, route.Host, route.PathPrefix, route)
+			continue
 		}
-		prefixes[strings.TrimSuffix(route.PathPrefix, "/")] = route
+		add(m.callers, route.Caller, strings.TrimSuffix(route.PathPrefix, "/"), route)
 	}
 	return m
 }
 
+func add(index map[string]map[string]*config.Route, key, prefix string, route *config.Route) {
+	if index[key] == nil {
+		index[key] = make(map[string]*config.Route)
+	}
+	index[key][prefix] = route
+}
+
 func longestPrefix(prefixes map[string]*config.Route, path string) *config.Route {
 	if len(prefixes) == 0 {
 		return nil
@@ -95,13 +128,14 @@
 
 // Idempotent reports whether a method may run more than once, by its definition or by the route's setting.
 func Idempotent(route *config.Route, method string) bool {
-	if idempotentMethods[method] {
+	switch route.Repetition {
+	case config.Idempotent:
 		return true
+	case config.NonIdempotent:
+		return false
 	}
-	for _, m := range route.IdempotentMethods {
-		if m == method {
-			return true
-		}
+	if idempotentMethods[method] {
+		return true
 	}
-	return false
+	return slices.Contains(route.IdempotentMethods, method)
 }
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -131,9 +131,10 @@
 func refusalResult(reason outcome.Reason) Result {
 	switch reason {
 	case outcome.ReasonConnectFailed, outcome.ReasonTargetDown, outcome.ReasonNotReady, outcome.ReasonNotEligible,
-		outcome.ReasonSelfFenced, outcome.ReasonShutdown, outcome.ReasonDraining:
+		outcome.ReasonSelfFenced, outcome.ReasonShutdown, outcome.ReasonDraining, outcome.ReasonTargetReplaced,
+		outcome.ReasonNoTarget:
 		return Failed
-	case outcome.ReasonQueueFull, outcome.ReasonOverloaded:
+	case outcome.ReasonQueueFull, outcome.ReasonOverloaded, outcome.ReasonTargetFull:
 		return Succeeded
 	default:
 		return Neutral
--- /dev/null
+++ b/server/coordination/seeds/directory.go
@@ -0,0 +1,49 @@
+package seeds
+
+import (
+	"context"
+	"time"
+)
+
+// Record is what a node publishes in a directory.
+type Record struct {
+	Node string `json:"node"`
+	// Address is the peer address as HOST:PORT.
+	Address     string `json:"address"`
+	Incarnation int64  `json:"incarnation"`
+	// RenewedMS is the time of the newest publication by the node's clock, Unix milliseconds.
+	RenewedMS int64 `json:"renewed_ms"`
+}
+
+// Directory keeps one record for each node outside the mesh. It is where nodes that know no other node meet.
+type Directory interface {
+	// Publish replaces the record of a node.
+	Publish(ctx context.Context, r Record) error
+	// Remove drops the record of a node.
+	Remove(ctx context.Context, node string) error
+	List(ctx context.Context) ([]Record, error)
+}
+
+const (
+	// RenewInterval is the time between two publications of a node that keeps running.
+	RenewInterval = 10 * time.Minute
+	// RecordLife is the age at which a record is taken for that of a node that is gone. It allows for two renewals
+	// that failed and for clocks that differ.
+	RecordLife = 3*RenewInterval + time.Minute
+)
+
+// Addresses returns the addresses of other nodes in a directory, and the nodes whose records are older than
+// RecordLife.
+func Addresses(records []Record, own string, now time.Time) (addresses, expired []string) {
+	for _, r := range records {
+		if r.Node == own {
+			continue
+		}
+		if now.UnixMilli()-r.RenewedMS > RecordLife.Milliseconds() {
+			expired = append(expired, r.Node)
+			continue
+		}
+		addresses = append(addresses, r.Address)
+	}
+	return addresses, expired
+}
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"net/rpc"
 	"time"
 
 	"github.com/apex/log"
@@ -13,28 +11,19 @@
 	"wagtailford.example/server/coordination/announce"
 	"wagtailford.example/server/coordination/control"
 	"wagtailford.example/server/coordination/execute"
-	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/follow"
 	"wagtailford.example/server/coordination/ingress"
-	"wagtailford.example/server/coordination/membership"
 	"wagtailford.example/server/coordination/ownership"
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/protocol/platformlog"
 	"wagtailford.example/server/protocol/wire"
-	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/state/suspect"
 	"wagtailford.example/server/transport/httpclient"
 	"wagtailford.example/server/transport/peer"
 )
 
 const (
-	// dialTimeout limits a connection attempt inside the mesh and to the target.
-	dialTimeout = time.Second
-	// probeInterval is the mean time between syncs with nodes that are believed dead.
-	probeInterval = 5 * time.Second
-	// controlSlack is how much longer than the hold time a sync may take before its connection counts as silent.
-	controlSlack = time.Second
 	// drainAnnounce is how long a draining target still takes work while the news spreads.
 	drainAnnounce = 500 * time.Millisecond
 	// leaveRetryMax limits the wait between two attempts to hand key records over.
@@ -47,28 +36,6 @@
 	targetIdleTimeout = 4 * time.Second
 )
 
-func (d *Daemon) credential() peer.Credential {
-	return peer.Credential{Cluster: d.settings.Node.Cluster, Secret: []byte(d.settings.Security.ClusterCredential)}
-}
-
-func (d *Daemon) trafficLimits() peer.Limits {
-	l := peer.DefaultLimits()
-	l.MaxMessageBytes = int(d.settings.Limits.MessageMax)
-	l.MaxConnections = d.settings.Limits.ConnectionsMax
-	l.IdleTimeout = d.settings.Limits.IdleTimeout
-	l.SilenceTimeout = d.settings.Limits.SilenceTimeout
-	l.PingInterval = l.SilenceTimeout / 3
-	return l
-}
-
-// controlLimits let a poll stay open for the hold time without pings, which would cost more bytes than the polls.
-func (d *Daemon) controlLimits() peer.Limits {
-	l := d.trafficLimits()
-	l.SilenceTimeout = d.settings.Fanout.SyncHold + controlSlack
-	l.PingInterval = l.SilenceTimeout - controlSlack/2
-	return l
-}
-
 func (d *Daemon) buildLog() error {
 	client, err := platformlog.New(d.settings.Log.URL, platformlog.Settings{
 		DialTimeout:   dialTimeout,
@@ -78,49 +45,15 @@
 	return err
 }
 
-func (d *Daemon) membershipRules() membership.Rules {
-	m := d.settings.Membership
-	return membership.Rules{SuspectAfter: m.SuspectAfter, DeadAfter: m.DeadAfter, SelfFence: m.SelfFence}
-}
-
 func (d *Daemon) buildControl() error {
 	s := d.settings
-	d.controlPool = peer.NewPool(d.credential(), d.controlLimits())
-	d.control = control.New(control.Settings{
-		Rules: d.membershipRules(),
-		Shape: fanout.Shape{
-			Mode:               fanout.Mode(s.Fanout.Mode),
-			FollowersPerDomain: s.Fanout.FollowersPerDomain,
-			RelayChildren:      s.Fanout.RelayChildren,
-		},
-		SyncHold:           s.Fanout.SyncHold,
-		CoalesceWindow:     s.Fanout.CoalesceWindow,
-		SyncAdmissionRate:  float64(s.Fanout.SyncAdmissionRate),
-		ReconnectJitter:    s.Fanout.ReconnectJitter,
-		KeyRetention:       s.Keys.KeyRetention,
-		DeltaWindowRecords: s.Log.DeltaWindowRecords,
-		StartGrace:         d.startGrace(),
-		Drain:              d.drainForPeer,
-		DumpJSON:           d.dump,
-	}, endpoint.Entry{
-		Node:          s.Node.Name,
-		Key:           endpoint.Key{Incarnation: d.started.UnixNano(), Revision: 1},
-		Address:       s.Listen.Peer,
-		FailureDomain: s.Node.FailureDomain,
-		Region:        s.Node.Region,
+	d.core.buildControl(controlHooks{
+		startGrace:   d.startGrace(),
+		drain:        d.drainForPeer,
+		dump:         d.dump,
+		rolesChanged: d.rolesChanged,
+		declaredDead: d.declaredDead,
 	})
-	node, relay, follower := fanout.HoldTimes(s.Fanout.SyncHold, s.Membership.SelfFence)
-	d.syncer = fanout.NewSyncer(d.controlPool, d.control, fanout.Settings{
-		Hold: node, RelayHold: relay, FollowerHold: follower,
-		ReconnectJitter: s.Fanout.ReconnectJitter,
-		CallSlack:       controlSlack,
-		ProbeInterval:   probeInterval,
-		RetryMax:        s.Log.RetryMax,
-		Seeds:           s.Node.Seeds,
-	})
-	d.control.OnRoles(d.rolesChanged)
-	d.control.OnAhead(d.syncer.Pull)
-	d.control.OnDeclaredDead(d.declaredDead)
 	followSettings := follow.DefaultSettings()
 	followSettings.PollWait = s.Log.PollWait
 	followSettings.RetryMax = s.Log.RetryMax
@@ -283,21 +216,9 @@
 }
 
 func (d *Daemon) buildServers() error {
-	r := rpc.NewServer()
-	background := context.Background()
-	services := []struct {
-		name     string
-		receiver any
-	}{
-		{wire.ServiceControl, control.NewService(background, d.control)},
-		{wire.ServiceNode, d.executor.Receiver()},
-		{wire.ServiceOwnership, d.keys.Receiver()},
-	}
-	for _, service := range services {
-		if err := r.RegisterName(service.name, service.receiver); err != nil {
-			return fmt.Errorf("register %s: %w", service.name, err)
-		}
-	}
-	d.peers = peer.NewServer(r, d.credential(), d.trafficLimits())
-	return nil
+	return d.serveRPC(map[string]any{
+		wire.ServiceControl:   control.NewService(context.Background(), d.control),
+		wire.ServiceNode:      d.executor.Receiver(),
+		wire.ServiceOwnership: d.keys.Receiver(),
+	})
 }
--- a/server/daemon/command/command.go
+++ b/server/daemon/command/command.go
@@ -2,6 +2,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"runtime"
@@ -18,19 +19,22 @@
 	"wagtailford.example/server/state/config"
 )
 
+// OpenPlatform connects a node with the platform whose store is at an address.
+type OpenPlatform func(store string) (daemon.Platform, error)
+
 // New returns the root command.
-func New() *cobra.Command {
+func New(open OpenPlatform) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "wagtaild",
 		Short:         "Node of a wagtailford mesh",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand(), printCommand(), versionCommand())
+	root.AddCommand(runCommand(open), checkCommand(), printCommand(), versionCommand())
 	return root
 }
 
-func runCommand() *cobra.Command {
+func runCommand(open OpenPlatform) *cobra.Command {
 	var level string
 	cmd := &cobra.Command{
 		Use:   "run FILE",
@@ -45,19 +49,36 @@
 			if err != nil {
 				return err
 			}
-			logging.Setup(json.New(os.Stderr), parsed)
+			logging.Setup(json.New(os.Stdout), parsed)
 			hlog.SetLevel(hlog.LevelFatal)
-			d, err := daemon.New(s)
+			node, err := newNode(s, open)
 			if err != nil {
 				return err
 			}
-			return d.Run(cmd.Context())
+			return node.Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error; can be changed at run time")
 	return cmd
 }
 
+// node is a daemon that runs until its context ends.
+type node interface {
+	Run(ctx context.Context) error
+}
+
+// newNode assembles the node that the settings describe.
+func newNode(s *settings.Settings, open OpenPlatform) (node, error) {
+	if s.Platform.Store == "" {
+		return daemon.New(s)
+	}
+	platform, err := open(s.Platform.Store)
+	if err != nil {
+		return nil, err
+	}
+	return daemon.NewHosted(s, platform)
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check-settings FILE",
--- /dev/null
+++ b/server/daemon/core.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"fmt"
+	"net/rpc"
+	"time"
+
+	"wagtailford.example/server/coordination/control"
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/coordination/membership"
+	"wagtailford.example/server/daemon/settings"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/transport/peer"
+)
+
+const (
+	// dialTimeout limits a connection attempt inside the mesh and to the target.
+	dialTimeout = time.Second
+	// probeInterval is the mean time between syncs with nodes that are believed dead.
+	probeInterval = 5 * time.Second
+	// controlSlack is how much longer than the hold time a sync may take before its connection counts as silent.
+	controlSlack = time.Second
+)
+
+// core is what a node has wherever it runs: the control loop and the connections to other nodes.
+type core struct {
+	settings *settings.Settings
+	started  time.Time
+
+	control *control.Loop
+	syncer  *fanout.Syncer
+	// controlPool carries syncs and status, trafficPool requests and key records, so that neither waits for the other.
+	controlPool *peer.Pool
+	trafficPool *peer.Pool
+	peers       *peer.Server
+}
+
+// controlHooks connect the control loop with the rest of the node.
+type controlHooks struct {
+	// startGrace is how long a node that knows no other node waits before it takes roles.
+	startGrace   time.Duration
+	drain        func(wire.DrainArgs) (wire.DrainReply, error)
+	dump         func() ([]byte, error)
+	rolesChanged func(fanout.Roles)
+	declaredDead func()
+}
+
+func (c *core) credential() peer.Credential {
+	return peer.Credential{Cluster: c.settings.Node.Cluster, Secret: []byte(c.settings.Security.ClusterCredential)}
+}
+
+func (c *core) trafficLimits() peer.Limits {
+	l := peer.DefaultLimits()
+	l.MaxMessageBytes = int(c.settings.Limits.MessageMax)
+	l.MaxConnections = c.settings.Limits.ConnectionsMax
+	l.IdleTimeout = c.settings.Limits.IdleTimeout
+	l.SilenceTimeout = c.settings.Limits.SilenceTimeout
+	l.PingInterval = l.SilenceTimeout / 3
+	return l
+}
+
+// controlLimits let a poll stay open for the hold time without pings, which would cost more bytes than the polls.
+func (c *core) controlLimits() peer.Limits {
+	l := c.trafficLimits()
+	l.SilenceTimeout = c.settings.Fanout.SyncHold + controlSlack
+	l.PingInterval = l.SilenceTimeout - controlSlack/2
+	return l
+}
+
+func (c *core) membershipRules() membership.Rules {
+	m := c.settings.Membership
+	return membership.Rules{SuspectAfter: m.SuspectAfter, DeadAfter: m.DeadAfter, SelfFence: m.SelfFence}
+}
+
+func (c *core) buildControl(hooks controlHooks) {
+	s := c.settings
+	c.controlPool = peer.NewPool(c.credential(), c.controlLimits())
+	c.control = control.New(control.Settings{
+		Rules: c.membershipRules(),
+		Shape: fanout.Shape{
+			Mode:               fanout.Mode(s.Fanout.Mode),
+			FollowersPerDomain: s.Fanout.FollowersPerDomain,
+			RelayChildren:      s.Fanout.RelayChildren,
+		},
+		SyncHold:           s.Fanout.SyncHold,
+		CoalesceWindow:     s.Fanout.CoalesceWindow,
+		SyncAdmissionRate:  float64(s.Fanout.SyncAdmissionRate),
+		ReconnectJitter:    s.Fanout.ReconnectJitter,
+		KeyRetention:       s.Keys.KeyRetention,
+		DeltaWindowRecords: s.Log.DeltaWindowRecords,
+		StartGrace:         hooks.startGrace,
+		Drain:              hooks.drain,
+		DumpJSON:           hooks.dump,
+	}, endpoint.Entry{
+		Node:          s.Node.Name,
+		Key:           endpoint.Key{Incarnation: c.started.UnixNano(), Revision: 1},
+		Address:       s.Listen.Peer,
+		FailureDomain: s.Node.FailureDomain,
+		Region:        s.Node.Region,
+	})
+	node, relay, follower := fanout.HoldTimes(s.Fanout.SyncHold, s.Membership.SelfFence)
+	c.syncer = fanout.NewSyncer(c.controlPool, c.control, fanout.Settings{
+		Hold: node, RelayHold: relay, FollowerHold: follower,
+		ReconnectJitter: s.Fanout.ReconnectJitter,
+		CallSlack:       controlSlack,
+		ProbeInterval:   probeInterval,
+		RetryMax:        s.Log.RetryMax,
+		Seeds:           s.Node.Seeds,
+	})
+	c.control.OnRoles(hooks.rolesChanged)
+	c.control.OnAhead(c.syncer.Pull)
+	c.control.OnDeclaredDead(hooks.declaredDead)
+}
+
+// serveRPC sets up the server for other nodes with the receivers of its services.
+func (c *core) serveRPC(services map[string]any) error {
+	r := rpc.NewServer()
+	for name, receiver := range services {
+		if err := r.RegisterName(name, receiver); err != nil {
+			return fmt.Errorf("register %s: %w", name, err)
+		}
+	}
+	c.peers = peer.NewServer(r, c.credential(), c.trafficLimits())
+	return nil
+}
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -13,16 +13,13 @@
 	"github.com/apex/log"
 
 	"wagtailford.example/server/coordination/announce"
-	"wagtailford.example/server/coordination/control"
 	"wagtailford.example/server/coordination/execute"
-	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/follow"
 	"wagtailford.example/server/coordination/ingress"
 	"wagtailford.example/server/coordination/ownership"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/platformlog"
 	"wagtailford.example/server/state/endpoint"
-	"wagtailford.example/server/transport/peer"
 )
 
 // observeInterval is the interval at which the key manager looks at the view.
@@ -30,23 +27,15 @@
 
 // Daemon is one node.
 type Daemon struct {
-	settings *settings.Settings
-	started  time.Time
+	core
 
 	log      *platformlog.Client
-	control  *control.Loop
-	syncer   *fanout.Syncer
 	follower *follow.Follower
 	keys     *ownership.Manager
 	executor *execute.Executor
 	announce *announce.Announcer
 	ingress  *ingress.Handler
 
-	// controlPool carries syncs and status, trafficPool requests and key records, so that neither waits for the other.
-	controlPool *peer.Pool
-	trafficPool *peer.Pool
-	peers       *peer.Server
-
 	listeners *listeners
 
 	// keysKept is true while key records stay here because no other member of the service can take them.
@@ -67,7 +56,7 @@
 func New(s *settings.Settings) (*Daemon, error) {
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
 	debug.SetGCPercent(collectPercentMin)
-	d := &Daemon{settings: s, started: time.Now()}
+	d := &Daemon{core: core{settings: s, started: time.Now()}}
 	steps := []func() error{
 		d.openListeners, d.buildLog, d.buildControl, d.buildTraffic, d.buildServers, d.buildOperator,
 	}
@@ -86,7 +75,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	d.publishMetrics()
+	publishMetrics(d)
 	d.work.Go(func() { d.control.Run(background) })
 	d.work.Go(func() { d.syncer.Run(background) })
 	d.work.Go(func() { d.findSeeds(background) })
--- /dev/null
+++ b/server/daemon/hosted.go
@@ -0,0 +1,266 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"wagtailford.example/server/coordination/admission"
+	"wagtailford.example/server/coordination/announce"
+	"wagtailford.example/server/coordination/control"
+	"wagtailford.example/server/coordination/dispatch"
+	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/coordination/follow"
+	"wagtailford.example/server/coordination/retry"
+	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/coordination/seeds"
+	"wagtailford.example/server/daemon/settings"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/suspect"
+	"wagtailford.example/server/transport/httpclient"
+	"wagtailford.example/server/transport/peer"
+)
+
+// Platform translates between a platform and the node. It decides nothing.
+type Platform interface {
+	// Source is where operators publish configurations, Directory where nodes find each other.
+	Source() follow.Source
+	Directory() seeds.Directory
+	// Dialect is how targets are spoken to.
+	Dialect() execute.Dialect
+	// ServeCallers, ServeTargets and ServeReady register the interfaces of the node on servers that do not run yet.
+	ServeCallers(s *server.Hertz, h *dispatch.Handler, closing func() bool)
+	ServeTargets(s *server.Hertz, r *announce.Registrar)
+	ServeReady(s *server.Hertz, ready func() bool)
+	// Counters are the totals of the calls to the platform.
+	Counters() any
+	Close()
+}
+
+const (
+	// targetKeepAlive is the time after which a silent connection to the target is probed. The system takes whole
+	// seconds.
+	targetKeepAlive = time.Second
+	// hostedTargetIdle is how long a connection to a target is kept that states no idle timeout of its own.
+	hostedTargetIdle = 4 * time.Second
+	// triesMax limits the nodes that a request is offered to. Beyond some, all are as full as the first.
+	triesMax = 4
+	// sourceWait is how long the store is asked to wait for a configuration. A read that hangs since the store went
+	// silent is given up soon enough after it for the next change to be in force within two seconds.
+	sourceWait = 3 * time.Second
+	// sourceRetryMin and sourceRetryMax bound the delay after a failed read: the store's return is noticed in time.
+	sourceRetryMin = 50 * time.Millisecond
+	sourceRetryMax = 500 * time.Millisecond
+	// sourcePause is the time between two reads of configurations in quick succession. Each is complete in itself, so
+	// only the newest has to be installed, and the pause is small against the time in which it has to be in force.
+	sourcePause = 300 * time.Millisecond
+)
+
+// Hosted is a node that runs on a platform. It has no key records and no log: callers' attempts enter at one node, and
+// what must last lies in the platform's store.
+type Hosted struct {
+	core
+
+	platform  Platform
+	follower  *follow.WholeFollower
+	executor  *execute.Executor
+	registrar *announce.Registrar
+	dispatch  *dispatch.Handler
+	listeners *listeners
+	observer  *observer
+
+	closing atomic.Bool
+	// work are the goroutines that end with the node's context.
+	work sync.WaitGroup
+}
+
+// NewHosted assembles a node and opens its listeners.
+func NewHosted(s *settings.Settings, p Platform) (*Hosted, error) {
+	debug.SetMemoryLimit(s.Node.MemoryLimit)
+	debug.SetGCPercent(collectPercentMin)
+	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p}
+	h.observer = newObserver(log.Log, s.Node.Name)
+	h.listeners = &listeners{}
+	steps := []func() error{
+		func() error { return h.listeners.openAll(s.Listen) }, h.buildControl, h.buildExecutor, h.buildDispatch, h.buildServers,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			h.listeners.close()
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+func (h *Hosted) buildControl() error {
+	h.core.buildControl(controlHooks{
+		drain: func(wire.DrainArgs) (wire.DrainReply, error) {
+			return wire.DrainReply{}, errors.New("targets of this platform drain by themselves")
+		},
+		dump:         h.dump,
+		rolesChanged: h.rolesChanged,
+		declaredDead: func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
+	})
+	h.follower = follow.NewWhole(h.platform.Source(), h.control, follow.WholeSettings{
+		PollWait: sourceWait, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, Pause: sourcePause,
+	}, log.Log)
+	return nil
+}
+
+func (h *Hosted) rolesChanged(r fanout.Roles) {
+	h.syncer.SetRoles(r)
+	log.WithFields(log.Fields{
+		"event": "roles", "follower": r.Follower, "relay": r.Relay, "rank": r.Rank, "parent": r.Parent().Node,
+	}).Info("roles changed")
+}
+
+func (h *Hosted) buildExecutor() error {
+	s := h.settings
+	h.trafficPool = peer.NewPool(h.credential(), h.trafficLimits())
+	var err error
+	h.executor, err = execute.New(execute.Settings{
+		Node:    s.Node.Name,
+		Workers: s.Admission.Workers,
+		Admission: admission.Settings{
+			Slots:          s.Admission.Slots,
+			Queue:          s.Admission.Queue,
+			ExclusiveQueue: s.Suspects.SuspectsMax,
+			ExclusiveWait:  exclusiveWait,
+		},
+		Suspects: suspect.Limits{CrashLimit: s.Suspects.CrashLimit, TTL: s.Suspects.SuspectTTL, Max: s.Suspects.SuspectsMax},
+		Client: httpclient.Limits{
+			DialTimeout:        dialTimeout,
+			ConnectionsPerHost: s.Target.ConnectionsMax,
+			IdleTimeout:        hostedTargetIdle,
+			BodyMaxBytes:       int(s.Limits.BodyMax),
+			UnframedBodies:     true,
+			KeepAlive:          targetKeepAlive,
+		},
+		Dialect: h.platform.Dialect(),
+	}, execute.Dependencies{
+		View:       h.control.View,
+		UpdateSelf: h.control.UpdateSelf,
+		Log:        log.Log,
+	})
+	if err != nil {
+		return err
+	}
+	h.registrar = announce.NewRegistrar(announce.RegistrarSettings{
+		Lease: s.Target.AnnounceLease, SlowStart: s.Routing.SlowStart, Service: s.Target.Service,
+	}, h.executor, h.control.UpdateSelf, log.Log)
+	return nil
+}
+
+func (h *Hosted) buildDispatch() error {
+	s := h.settings
+	rules := routing.DefaultSettings()
+	rules.EjectFailures = s.Routing.EjectFailures
+	rules.EjectTime = s.Routing.EjectTime
+	rules.SlowStart = s.Routing.SlowStart
+	rules.PanicFraction = s.Membership.PanicFraction
+	h.dispatch = dispatch.New(dispatch.Settings{
+		Node:           s.Node.Name,
+		Place:          routing.Place{FailureDomain: s.Node.FailureDomain, Region: s.Node.Region},
+		TriesMax:       triesMax,
+		DefaultTimeout: s.Routing.DefaultTimeout,
+		Routing:        rules,
+		Repeats: retry.FleetLimit{
+			Ratio: s.Routing.RetryFraction, Slack: float64(s.Routing.RepeatSlack), Window: s.Routing.RepeatWindow,
+		},
+	}, dispatch.Dependencies{
+		View:           h.control.View,
+		Call:           h.trafficPool.Call,
+		Local:          h.executor.Execute,
+		CallerService:  h.registrar.Service,
+		Random:         rand.Uint64,
+		Observe:        h.observer.request,
+		FirstAttemptID: uint64(h.started.UnixNano()),
+	})
+	return nil
+}
+
+func (h *Hosted) buildServers() error {
+	return h.serveRPC(map[string]any{
+		wire.ServiceControl: control.NewService(context.Background(), h.control),
+		wire.ServiceNode:    h.executor.Receiver(),
+	})
+}
+
+// Ready reports whether callers should use the node.
+func (h *Hosted) Ready() bool {
+	v := h.control.View()
+	return !h.closing.Load() && v.Ready && v.Version > 0
+}
+
+// Run serves until ctx ends, and then stops gracefully within the shutdown timeout.
+func (h *Hosted) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	publishMetrics(h)
+	h.work.Go(func() { h.control.Run(background) })
+	h.work.Go(func() { h.syncer.Run(background) })
+	h.work.Go(func() { h.follower.Run(background) })
+	h.work.Go(func() { h.registrar.Run(background) })
+	h.work.Go(func() { h.meet(background) })
+	h.work.Go(func() { paceCollector(background) })
+	failed := h.serve(background)
+	log.WithFields(log.Fields{
+		"event": "start", "node": h.settings.Node.Name, "peer": h.settings.Listen.Peer, "ingress": h.settings.Listen.Ingress,
+		"store": h.settings.Platform.Store,
+	}).Info("node started")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		log.WithError(err).WithField("event", "listener_failed").Error("listener failed; stopping")
+	}
+	return errors.Join(err, h.stop(stop))
+}
+
+// stop takes callers for a while longer, finishes the requests in flight, and then closes everything.
+func (h *Hosted) stop(stopBackground func()) error {
+	limit := h.settings.Node.ShutdownTimeout
+	log.WithFields(log.Fields{"event": "stop", "timeout": limit.String(), "in_flight": h.dispatch.InFlight()}).Info("shutting down")
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	h.closing.Store(true)
+	h.registrar.Stop()
+	select {
+	case <-time.After(min(h.settings.Platform.LeaveDelay, limit/2)):
+	case <-ctx.Done():
+	}
+	err := errors.Join(h.dispatch.WaitIdle(ctx), h.executor.WaitIdle(ctx))
+	h.leave(ctx)
+	stopBackground()
+	h.listeners.shutdown(ctx)
+	if ctx.Err() == nil {
+		h.peers.Close()
+		h.controlPool.Close()
+		h.trafficPool.Close()
+		h.work.Wait()
+	}
+	log.WithFields(log.Fields{"event": "stopped", "in_flight": h.dispatch.InFlight()}).Info("shutdown finished")
+	if err != nil {
+		return fmt.Errorf("shutdown was not graceful: %w", err)
+	}
+	return nil
+}
+
+// leave tells the other nodes that this one is gone.
+func (h *Hosted) leave(ctx context.Context) {
+	h.control.UpdateSelf(func(e *endpoint.Entry) { e.State = endpoint.Left })
+	if err := h.platform.Directory().Remove(ctx, h.settings.Node.Name); err != nil {
+		log.WithError(err).WithField("event", "directory_remove").Warn("record stays in the directory until it expires")
+	}
+}
--- /dev/null
+++ b/server/daemon/hosted_serve.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"wagtailford.example/server/daemon/admin"
+	"wagtailford.example/server/transport/httpserver"
+)
+
+// serve starts every server and returns a channel that receives the first failure.
+func (h *Hosted) serve(ctx context.Context) <-chan error {
+	r := newRunner(ctx)
+	l := h.listeners
+	callers := httpserver.New(l.track(l.ingress), h.httpLimits())
+	h.platform.ServeCallers(callers, h.dispatch, h.closing.Load)
+	few := h.httpLimits()
+	few.ConnectionsMax = adminConnectionsMax
+	targets := httpserver.New(l.track(l.announce), few)
+	h.platform.ServeTargets(targets, h.registrar)
+	ready := httpserver.New(l.track(l.ready), few)
+	h.platform.ServeReady(ready, h.Ready)
+	metrics := admin.New(l.track(l.admin), few, admin.Deps{
+		Dump:        h.dump,
+		Ready:       h.Ready,
+		Convergence: func() any { return h.control.Installs() },
+		Profile:     h.settings.Listen.Profile,
+	})
+	l.http = []*server.Hertz{callers, targets, ready, metrics}
+	r.run("peer listener", func() error { return h.peers.Serve(l.peer) })
+	r.run("ingress listener", callers.Run)
+	r.run("announce listener", targets.Run)
+	r.run("ready listener", ready.Run)
+	r.run("admin listener", metrics.Run)
+	return r.failed
+}
+
+// metrics returns the counters of all parts.
+func (h *Hosted) metrics() map[string]any {
+	return map[string]any{
+		"PeerServer":  h.peers.Counters().Values(),
+		"ControlPool": h.controlPool.Counters().Values(),
+		"TrafficPool": h.trafficPool.Counters().Values(),
+		"Control":     h.control.Counters(),
+		"Dispatch":    h.dispatch.Dump(),
+		"Execute":     h.executor.Dump(),
+		"Store":       h.platform.Counters(),
+		"Process": map[string]any{
+			"Goroutines":    runtime.NumGoroutine(),
+			"UptimeSeconds": int64(time.Since(h.started).Seconds()),
+		},
+	}
+}
+
+// dump returns the state of the process as JSON.
+func (h *Hosted) dump() ([]byte, error) {
+	return encodeDump(map[string]any{
+		"node":     h.settings.Node,
+		"listen":   h.settings.Listen,
+		"started":  h.started,
+		"control":  h.control.Dump(),
+		"roles":    h.control.Roles(),
+		"target":   h.registrar.Current(),
+		"dispatch": h.dispatch.Dump(),
+		"execute":  h.executor.Dump(),
+		"store":    h.platform.Counters(),
+	})
+}
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -18,6 +18,7 @@
 
 	"wagtailford.example/server/coordination/operator"
 	"wagtailford.example/server/daemon/admin"
+	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/platformlog"
 	"wagtailford.example/server/transport/httpserver"
 )
@@ -40,7 +41,7 @@
 
 // listeners are the open listeners of a daemon and the servers on them.
 type listeners struct {
-	peer, ingress, operator, announce, admin net.Listener
+	peer, ingress, operator, announce, admin, ready net.Listener
 
 	// tracked are the listeners of the HTTP servers.
 	tracked []*trackedListener
@@ -50,16 +51,21 @@
 
 func (d *Daemon) openListeners() error {
 	d.listeners = &listeners{}
-	l := d.settings.Listen
+	return d.listeners.openAll(d.settings.Listen)
+}
+
+// openAll opens the listeners that have an address.
+func (l *listeners) openAll(addresses settings.Listen) error {
 	for _, item := range []struct {
 		name, address string
 		listener      *net.Listener
 	}{
-		{"peer", l.Peer, &d.listeners.peer},
-		{"ingress", l.Ingress, &d.listeners.ingress},
-		{"operator", l.Operator, &d.listeners.operator},
-		{"announce", l.Announce, &d.listeners.announce},
-		{"admin", l.Admin, &d.listeners.admin},
+		{"peer", addresses.Peer, &l.peer},
+		{"ingress", addresses.Ingress, &l.ingress},
+		{"operator", addresses.Operator, &l.operator},
+		{"announce", addresses.Announce, &l.announce},
+		{"admin", addresses.Admin, &l.admin},
+		{"ready", addresses.Ready, &l.ready},
 	} {
 		if item.address == "" {
 			continue
@@ -74,7 +80,7 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.peer, l.ingress, l.operator, l.announce, l.admin} {
+	for _, listener := range []net.Listener{l.peer, l.ingress, l.operator, l.announce, l.admin, l.ready} {
 		if listener != nil {
 			listener.Close()
 		}
@@ -121,33 +127,42 @@
 	l.close()
 }
 
-func (d *Daemon) httpLimits() httpserver.Limits {
+func (c *core) httpLimits() httpserver.Limits {
 	return httpserver.Limits{
-		BodyMaxBytes:    int(d.settings.Limits.BodyMax),
-		HeaderMaxBytes:  int(d.settings.Limits.HeaderMax),
-		ConnectionsMax:  d.settings.Limits.ConnectionsMax,
-		ReadTimeout:     d.settings.Limits.ReadTimeout,
+		BodyMaxBytes:    int(c.settings.Limits.BodyMax),
+		HeaderMaxBytes:  int(c.settings.Limits.HeaderMax),
+		ConnectionsMax:  c.settings.Limits.ConnectionsMax,
+		ReadTimeout:     c.settings.Limits.ReadTimeout,
 		WriteTimeout:    writeTimeout,
-		IdleTimeout:     d.settings.Limits.IdleTimeout,
-		ShutdownTimeout: d.settings.Node.ShutdownTimeout,
+		IdleTimeout:     c.settings.Limits.IdleTimeout,
+		ShutdownTimeout: c.settings.Node.ShutdownTimeout,
 	}
 }
 
+// runner starts servers and reports the first failure of one.
+type runner struct {
+	ctx    context.Context
+	failed chan error
+}
+
+func newRunner(ctx context.Context) *runner { return &runner{ctx: ctx, failed: make(chan error, 1)} }
+
+func (r *runner) run(name string, f func() error) {
+	go func() {
+		err := f()
+		if err == nil || r.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		select {
+		case r.failed <- fmt.Errorf("%s: %w", name, err):
+		default:
+		}
+	}()
+}
+
 // serve starts every server and returns a channel that receives the first failure.
 func (d *Daemon) serve(ctx context.Context) <-chan error {
-	failed := make(chan error, 1)
-	run := func(name string, f func() error) {
-		go func() {
-			err := f()
-			if err == nil || ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
-			select {
-			case failed <- fmt.Errorf("%s: %w", name, err):
-			default:
-			}
-		}()
-	}
+	r := newRunner(ctx)
 	ingressServer := httpserver.New(d.listeners.track(d.listeners.ingress), d.httpLimits())
 	d.ingress.Register(ingressServer)
 	local := d.httpLimits()
@@ -161,14 +176,14 @@
 		Profile:     d.settings.Listen.Profile,
 	})
 	d.listeners.http = []*server.Hertz{ingressServer, announceServer, adminServer}
-	run("peer listener", func() error { return d.peers.Serve(d.listeners.peer) })
-	run("ingress listener", ingressServer.Run)
-	run("announce listener", announceServer.Run)
-	run("admin listener", adminServer.Run)
+	r.run("peer listener", func() error { return d.peers.Serve(d.listeners.peer) })
+	r.run("ingress listener", ingressServer.Run)
+	r.run("announce listener", announceServer.Run)
+	r.run("admin listener", adminServer.Run)
 	if d.listeners.operator != nil {
-		run("operator listener", func() error { return d.listeners.grpc.Serve(d.listeners.operator) })
+		r.run("operator listener", func() error { return d.listeners.grpc.Serve(d.listeners.operator) })
 	}
-	return failed
+	return r.failed
 }
 
 // buildOperator sets up the service for operators, if there is an address for it.
--- /dev/null
+++ b/server/daemon/meet.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"wagtailford.example/server/coordination/seeds"
+)
+
+const (
+	// meetRetry is the time between two attempts to publish this node or to find others while it knows none.
+	meetRetry = 500 * time.Millisecond
+	// meetTimeout limits one call to the directory.
+	meetTimeout = time.Second
+)
+
+// meet publishes this node in the directory and, while it knows no other node, looks for others there. A node
+// publishes itself before it looks, so of two nodes that start together one finds the other.
+func (h *Hosted) meet(ctx context.Context) {
+	ticker := time.NewTicker(meetRetry)
+	defer ticker.Stop()
+	var published time.Time
+	looked := false
+	failing := false
+	for {
+		var err error
+		if time.Since(published) > seeds.RenewInterval {
+			if err = h.publishNode(ctx); err == nil {
+				published = time.Now()
+			}
+		}
+		if err == nil && (!looked || h.control.Alone()) {
+			err = h.findNodes(ctx)
+			looked = err == nil
+		}
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			h.observer.dependency("directory", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Hosted) publishNode(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, meetTimeout)
+	defer cancel()
+	return h.platform.Directory().Publish(ctx, seeds.Record{
+		Node:        h.settings.Node.Name,
+		Address:     h.settings.Listen.Peer,
+		Incarnation: h.started.UnixNano(),
+		RenewedMS:   time.Now().UnixMilli(),
+	})
+}
+
+func (h *Hosted) findNodes(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, meetTimeout)
+	defer cancel()
+	records, err := h.platform.Directory().List(ctx)
+	if err != nil {
+		return err
+	}
+	addresses, expired := seeds.Addresses(records, h.settings.Node.Name, time.Now())
+	h.syncer.SetSeeds(append(addresses, h.settings.Node.Seeds...))
+	log.WithFields(log.Fields{"event": "directory", "nodes": len(addresses), "expired": len(expired)}).Info("nodes found")
+	for _, node := range expired {
+		if err := h.platform.Directory().Remove(ctx, node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/server/daemon/process_test.go
+++ b/server/daemon/process_test.go
@@ -56,7 +56,7 @@
 		l := startLog(t)
 		text := strings.Replace(nodeSettings(l, "n1"), "shutdown_timeout = 5m", "shutdown_timeout = 1s", 1)
 		s, cmd, output := startProcess(t, text)
-		n := &testNode{Daemon: &Daemon{settings: s}}
+		n := &testNode{Daemon: &Daemon{core: core{settings: s}}}
 		target := startTarget(t, n)
 		defer close(target.release)
 		eventually(t, "the process is ready", func() bool { return get(http.DefaultClient, n.adminURL("/readyz")).status == 200 })
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -15,7 +15,7 @@
 		nodeKeys(&s.Node), listenKeys(&s.Listen), securityKeys(&s.Security), logKeys(&s.Log),
 		fanoutKeys(&s.Fanout), membershipKeys(&s.Membership), routingKeys(&s.Routing),
 		admissionKeys(&s.Admission), keyRecordKeys(&s.Keys), suspectKeys(&s.Suspects),
-		limitKeys(&s.Limits), targetKeys(&s.Target),
+		limitKeys(&s.Limits), targetKeys(&s.Target), platformKeys(&s.Platform),
 	} {
 		keys = append(keys, group...)
 	}
@@ -43,6 +43,7 @@
 		address("operator", &l.Operator, optional, "address for operators; empty for none"),
 		address("announce", &l.Announce, required, "loopback address for the target"),
 		address("admin", &l.Admin, required, "loopback address for metrics, dump and health"),
+		address("ready", &l.Ready, optional, "address where the platform asks whether callers should use the node"),
 		boolean("profile", &l.Profile, "serves processor and memory profiles on the admin address"),
 	)
 }
@@ -60,7 +61,7 @@
 
 func logKeys(l *Log) []key {
 	return section("log",
-		text("url", &l.URL, "base URL of the log service").require(),
+		text("url", &l.URL, "base URL of the log service; required without a platform"),
 		duration("append_timeout", &l.AppendTimeout, "3s", 100*time.Millisecond, time.Minute, "time limit of an append"),
 		duration("poll_wait", &l.PollWait, "10s", 100*time.Millisecond, time.Minute, "how long a read of the log waits for records"),
 		duration("retention", &l.Retention, "24h", time.Second, 365*day, "how long the log keeps records"),
@@ -102,6 +103,8 @@
 		duration("eject_time", &r.EjectTime, "5s", 100*time.Millisecond, 10*time.Minute, "how long a target stays ejected"),
 		duration("slow_start", &r.SlowStart, "10s", 0, 10*time.Minute, "time over which a new target gets its full share"),
 		integer("max_depth", &r.MaxDepth, "16", 1, 64, "hops of a call chain"),
+		duration("repeat_window", &r.RepeatWindow, "10s", time.Second, 10*time.Minute, "time over which all nodes together count repeats"),
+		integer("repeat_slack", &r.RepeatSlack, "50", 0, 100000, "repeats of all nodes together in a window beside retry_fraction"),
 	)
 }
 
@@ -147,5 +150,13 @@
 		duration("announce_lease", &t.AnnounceLease, "5s", 100*time.Millisecond, 10*time.Minute, "time after which an announcement lapses without renewal"),
 		integer("connections_max", &t.ConnectionsMax, "32", 1, 10000, "connections to the target"),
 		duration("health_interval", &t.HealthInterval, "2s", 100*time.Millisecond, 10*time.Minute, "interval of health checks"),
+		text("service", &t.Service, "service of the target before its first report"),
+	)
+}
+
+func platformKeys(p *Platform) []key {
+	return section("platform",
+		address("store", &p.Store, optional, "address of the platform's store, in place of a log service"),
+		duration("leave_delay", &p.LeaveDelay, "2200ms", 0, time.Minute, "how long callers may still come after the node said that it is not ready"),
 	)
 }
--- a/server/daemon/settings/load.go
+++ b/server/daemon/settings/load.go
@@ -144,15 +144,29 @@
 	if s.Limits.BodyMax+s.Limits.HeaderMax*4 > s.Limits.MessageMax {
 		fault("limits", "message_max", formatSize(s.Limits.MessageMax), "must hold a body and four times a header")
 	}
+	checkPlace(s, fault)
+	checkCredential(s, fault)
+	checkOperator(s, fault)
+	return faults
+}
+
+// checkPlace checks what depends on whether the node runs on a platform, which gives it addresses of its own.
+func checkPlace(s *Settings, fault func(section, key, value, problem string)) {
+	if s.Platform.Store != "" {
+		if s.Listen.Ready == "" {
+			fault("listen", "ready", "", "is required with platform.store")
+		}
+		return
+	}
+	if s.Log.URL == "" {
+		fault("log", "url", "", "required key is missing")
+	}
 	if !isLoopback(s.Listen.Announce) {
 		fault("listen", "announce", s.Listen.Announce, "must be a loopback address, as it is for the target beside the node only")
 	}
 	if !isLoopback(s.Listen.Admin) {
 		fault("listen", "admin", s.Listen.Admin, "must be a loopback address")
 	}
-	checkCredential(s, fault)
-	checkOperator(s, fault)
-	return faults
 }
 
 func checkCredential(s *Settings, fault func(section, key, value, problem string)) {
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -33,6 +33,7 @@
 	Suspects   Suspects
 	Limits     Limits
 	Target     Target
+	Platform   Platform
 }
 
 // Node names the process and its place.
@@ -56,6 +57,8 @@
 	Operator string
 	Announce string
 	Admin    string
+	// Ready answers the platform whether callers should use the node.
+	Ready string
 	// Profile adds processor and memory profiles to the admin listener.
 	Profile bool
 }
@@ -112,6 +115,9 @@
 	EjectTime      time.Duration
 	SlowStart      time.Duration
 	MaxDepth       int
+	// RepeatWindow and RepeatSlack complete RetryFraction to a limit over all nodes together.
+	RepeatWindow time.Duration
+	RepeatSlack  int
 }
 
 // Admission holds the limits of work in progress.
@@ -152,4 +158,14 @@
 	AnnounceLease  time.Duration
 	ConnectionsMax int
 	HealthInterval time.Duration
+	// Service is the service of the target before its first report.
+	Service string
+}
+
+// Platform holds the settings of a node that runs on a platform. The store takes the place of the log service.
+type Platform struct {
+	// Store is the address of the platform's store; empty if the node uses a log service.
+	Store string
+	// LeaveDelay is how long callers may still come after the node said that it is not ready.
+	LeaveDelay time.Duration
 }
--- a/server/daemon/state.go
+++ b/server/daemon/state.go
@@ -17,18 +17,28 @@
 // metricsName is the name of the expvar variable with all counters.
 const metricsName = "wagtaild"
 
-// published is the daemon whose counters the expvar variable shows.
-var published atomic.Pointer[Daemon]
+// source has the counters of a process.
+type source interface {
+	metrics() map[string]any
+}
+
+// published is the node whose counters the expvar variable shows.
+var published atomic.Value
 
 // publishOnce registers the variable once per process, since a second registration of a name panics.
 var publishOnce = sync.OnceFunc(func() {
-	expvar.Publish(metricsName, expvar.Func(func() any { return published.Load().metrics() }))
+	expvar.Publish(metricsName, expvar.Func(func() any { return published.Load().(holder).metrics() }))
 })
 
-// publishMetrics makes the counters of all parts one expvar variable. With several daemons in one process it shows
-// the one that started last.
-func (d *Daemon) publishMetrics() {
-	published.Store(d)
+// holder gives the values of an atomic.Value one type.
+type holder struct {
+	source
+}
+
+// publishMetrics makes the counters of all parts one expvar variable. With several nodes in one process it shows the
+// one that started last.
+func publishMetrics(s source) {
+	published.Store(holder{s})
 	publishOnce()
 }
 
@@ -54,7 +64,7 @@
 
 // dump returns the state of the process as JSON.
 func (d *Daemon) dump() ([]byte, error) {
-	data, err := json.MarshalIndent(map[string]any{
+	return encodeDump(map[string]any{
 		"node":      d.settings.Node,
 		"listen":    d.settings.Listen,
 		"started":   d.started,
@@ -65,7 +75,12 @@
 		"execute":   d.executor.Dump(),
 		"announce":  d.announce.Dump(),
 		"ingress":   d.ingress.Dump(),
-	}, "", "  ")
+	})
+}
+
+// encodeDump encodes the parts of a dump within its bound.
+func encodeDump(parts map[string]any) ([]byte, error) {
+	data, err := json.MarshalIndent(parts, "", "  ")
 	if err != nil {
 		return nil, err
 	}
--- a/server/protocol/outcome/http.go
+++ b/server/protocol/outcome/http.go
@@ -66,7 +66,8 @@
 	switch reason {
 	case ReasonNotReady, ReasonNoRoute, ReasonNoTarget, ReasonDraining, ReasonTargetDown, ReasonQueueFull,
 		ReasonDeadline, ReasonOverloaded, ReasonNotOwner, ReasonNotEligible, ReasonSelfFenced, ReasonSuspect,
-		ReasonConnectFailed, ReasonShutdown, ReasonAttemptsExhausted, ReasonRouteChanged:
+		ReasonConnectFailed, ReasonShutdown, ReasonAttemptsExhausted, ReasonRouteChanged, ReasonTargetFull,
+		ReasonTargetReplaced:
 		return true
 	}
 	return false
--- a/server/protocol/outcome/outcome.go
+++ b/server/protocol/outcome/outcome.go
@@ -73,4 +73,8 @@
 	ReasonCanceled         Reason = "canceled"
 	ReasonShutdown         Reason = "shutdown"
 	ReasonRouteChanged     Reason = "route_changed"
+	// ReasonTargetFull means that the target itself refused the request and said that it did not run it.
+	ReasonTargetFull Reason = "target_full"
+	// ReasonTargetReplaced means that another instance answers at the address of the target.
+	ReasonTargetReplaced Reason = "target_replaced"
 )
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -126,6 +126,14 @@
 	Attempts int
 	// Depth is the number of hops that the call chain has taken.
 	Depth int
+	// RequestID is the caller's own id of the request; empty if the caller gave none.
+	RequestID string
+	// CallerService is the service of the target beside the node that the caller uses.
+	CallerService string
+	// Priority is the rank of the request at a full target, 0 first.
+	Priority int
+	// ObjectiveMS is the time that remains until an answer is late, in milliseconds; 0 or less if it is late already.
+	ObjectiveMS int64
 }
 
 // Response is the result of a request as it travels between nodes.
@@ -143,6 +151,10 @@
 	// InUse and Queued are the slots in use and the queue length at the node when it answered.
 	InUse  int
 	Queued int
+	// Arrived is true if any byte of the request was sent to the target.
+	Arrived bool
+	// WaitMS is the time after which the node expects a free slot, in milliseconds, if it refused for lack of one.
+	WaitMS int64
 }
 
 // CancelArgs says that the caller of a request is gone.
--- a/server/state/config/snapshot.go
+++ b/server/state/config/snapshot.go
@@ -19,6 +19,7 @@
 // snapshot is the encoded form of a state.
 type snapshot struct {
 	Version    Version        `msgpack:"v"`
+	Sequence   uint64         `msgpack:"sq,omitempty"`
 	Content    *Content       `msgpack:"c"`
 	Decisions  []*Verdict     `msgpack:"d"`
 	Changes    []lastChange   `msgpack:"l"`
@@ -38,7 +39,7 @@
 // record sets again.
 func (s *State) EncodeSnapshot() ([]byte, error) {
 	out := snapshot{
-		Version: s.version, Content: s.content, Decisions: s.decisions, Floor: s.floor, History: s.history,
+		Version: s.version, Sequence: s.sequence, Content: s.content, Decisions: s.decisions, Floor: s.floor, History: s.history,
 		Changes:    make([]lastChange, 0, len(s.changes)),
 		Tombstones: make([]lastChange, 0, len(s.tombstones)),
 	}
@@ -106,7 +107,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrUndecodable, err)
 	}
 	s := &State{
-		offset: offset, version: in.Version, rule: RuleVersion, content: in.Content, decisions: in.Decisions,
+		offset: offset, version: in.Version, sequence: in.Sequence, rule: RuleVersion,
+		content: in.Content, decisions: in.Decisions,
 		changes: make(map[resource]change, len(in.Changes)), floor: in.Floor, history: in.History,
 	}
 	for _, c := range in.Changes {
@@ -133,6 +135,12 @@
 		!slices.IsSortedFunc(in.Content.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) }) {
 		return errors.New("content is not sorted")
 	}
+	if in.Sequence != 0 {
+		if detail := checkWhole(in.Content); detail != "" {
+			return &InvalidError{Sequence: in.Sequence, Detail: detail}
+		}
+		return nil
+	}
 	if refused := validate(in.Content); refused != nil {
 		return fmt.Errorf("%s: %s", refused.reason, refused.detail)
 	}
--- a/server/state/config/state.go
+++ b/server/state/config/state.go
@@ -9,6 +9,8 @@
 type State struct {
 	offset  uint64
 	version Version
+	// sequence is the publisher's number of a configuration that was installed whole.
+	sequence uint64
 	// rule is the highest rule version among the folded records; a snapshot states it.
 	rule    uint32
 	content *Content
--- a/server/state/config/types.go
+++ b/server/state/config/types.go
@@ -19,6 +19,11 @@
 type Service struct {
 	Name        string `msgpack:"n"`
 	Description string `msgpack:"d,omitempty"`
+	// ConnectionsMax limits the connections to one target of the service, from all callers together; 0 means the
+	// daemon's default.
+	ConnectionsMax uint32 `msgpack:"cm,omitempty"`
+	// HealthPath answers health checks of a target; empty if the service has none.
+	HealthPath string `msgpack:"hp,omitempty"`
 }
 
 // Destination selects targets of a service.
@@ -40,8 +45,28 @@
 	MaxAttempts uint32 `msgpack:"a,omitempty"`
 	// IdempotentMethods are idempotent in addition to GET, HEAD, OPTIONS, PUT and DELETE.
 	IdempotentMethods []string `msgpack:"i,omitempty"`
+	// Host limits the route to requests for this host; empty matches every host. With a host, PathPrefix begins and
+	// ends with a slash and is compared with the path as the caller wrote it.
+	Host string `msgpack:"h,omitempty"`
+	// Repetition says whether requests may run more than once, whatever their method.
+	Repetition Repetition `msgpack:"rp,omitempty"`
+	// Priority is the rank of the requests at a full target, 0 first.
+	Priority uint32 `msgpack:"pr,omitempty"`
+	// LatencyObjective is the time within which an answer is of full use; 0 means none.
+	LatencyObjective time.Duration `msgpack:"lo,omitempty"`
 }
 
+// Repetition says whether a request may run more than once.
+type Repetition uint8
+
+// Values of Repetition.
+const (
+	// ByMethod leaves it to the method and to Route.IdempotentMethods.
+	ByMethod Repetition = iota
+	Idempotent
+	NonIdempotent
+)
+
 // Content is the whole content of a version. Both slices are sorted by name and never modified
 // after the fold returned them.
 type Content struct {
--- /dev/null
+++ b/server/state/config/whole.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Whole is a configuration that an outside source publishes complete, in place of records that change it.
+type Whole struct {
+	// Offset orders the publications of the source; a node installs only a higher one. It is above 0.
+	Offset uint64
+	// Sequence is the publisher's own number of this configuration. It grows with Offset.
+	Sequence uint64
+	// TimeMS is the time at which the node received the publication, Unix milliseconds.
+	TimeMS  int64
+	Content Content
+}
+
+// InvalidError means that a published configuration is not consistent in itself.
+type InvalidError struct {
+	Sequence uint64
+	Detail   string
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("configuration %d is invalid: %s", e.Sequence, e.Detail)
+}
+
+// Sequence returns the publisher's number of a configuration that was installed whole; 0 if there is none.
+func (s *State) Sequence() uint64 { return s.sequence }
+
+// FromWhole returns the state that a published configuration leads to, or an *InvalidError. The limits of the rule
+// version do not apply, since the source does not know them.
+func FromWhole(w *Whole) (*State, error) {
+	content := sorted(&w.Content)
+	if detail := checkWhole(content); detail != "" {
+		return nil, &InvalidError{Sequence: w.Sequence, Detail: detail}
+	}
+	s := New()
+	s.offset = w.Offset
+	s.version = w.Offset
+	s.sequence = w.Sequence
+	s.content = content
+	s.history = []historyEntry{{Info: VersionInfo{
+		Version: w.Offset,
+		Summary: fmt.Sprintf("configuration %d, %d routes, %d services", w.Sequence, len(content.Routes), len(content.Services)),
+		TimeMS:  w.TimeMS,
+	}}}
+	return s, nil
+}
+
+// checkWhole returns the first fault of a sorted content, or "".
+func checkWhole(c *Content) string {
+	for i, s := range c.Services {
+		if s.Name == "" {
+			return "a service without a name"
+		}
+		if i > 0 && c.Services[i-1].Name == s.Name {
+			return fmt.Sprintf("service %s is given twice", s.Name)
+		}
+	}
+	taken := make(map[[2]string]bool, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if detail := checkWholeRoute(c, r); detail != "" {
+			return detail
+		}
+		key := [2]string{r.Host, r.PathPrefix}
+		if taken[key] {
+			return fmt.Sprintf("two routes for %s%s", r.Host, r.PathPrefix)
+		}
+		taken[key] = true
+	}
+	return ""
+}
+
+func checkWholeRoute(c *Content, r *Route) string {
+	switch {
+	case r.Host == "":
+		return fmt.Sprintf("route %s has no host", r.Name)
+	case len(r.PathPrefix) == 0 || r.PathPrefix[0] != '/' || !strings.HasSuffix(r.PathPrefix, "/"):
+		return fmt.Sprintf("route %s: path prefix %q does not begin and end with a slash", r.Name, r.PathPrefix)
+	case r.Timeout <= 0:
+		return fmt.Sprintf("route %s has no timeout", r.Name)
+	case r.MaxAttempts == 0:
+		return fmt.Sprintf("route %s allows no attempt", r.Name)
+	case len(r.Destinations) == 0:
+		return fmt.Sprintf("route %s has no destination", r.Name)
+	}
+	for _, d := range r.Destinations {
+		if _, found := slices.BinarySearchFunc(c.Services, d.Service, func(s Service, name string) int {
+			return cmp.Compare(s.Name, name)
+		}); !found {
+			return fmt.Sprintf("route %s leads to unknown service %q", r.Name, d.Service)
+		}
+	}
+	return ""
+}
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -71,3 +71,12 @@
 	// Crashes are the crash counts that the node attributes to request digests.
 	Crashes []CrashCount
 }
+
+// String returns the state in words.
+func (s State) String() string {
+	names := [...]string{"no_target", "alive", "draining", "suspect", "dead", "left"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return "state"
+}
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -31,6 +31,12 @@
 	// HeaderMaxBytes and BodyMaxBytes limit a response; 0 means the defaults.
 	HeaderMaxBytes int
 	BodyMaxBytes   int
+	// UnframedBodies accepts a body without length that ends with an orderly end of the connection. A reset is never
+	// taken for its end.
+	UnframedBodies bool
+	// KeepAlive is the time without any bytes after which the other end of a connection is probed, and after which
+	// bytes that are not acknowledged end it; 0 leaves both to the system.
+	KeepAlive time.Duration
 }
 
 const (
@@ -105,11 +111,24 @@
 	return c.DoAddress(ctx, withPort(string(uri.Host())), req, resp, timeout)
 }
 
-// DoAddress sends the request once to address (host:port) and reads the whole response within the timeout. It
-// returns nil, a *NotSentError or a *LostError. The end of ctx closes the connection, and so does every error, so the
-// server notices a cancellation and a late response is never taken for the answer to a later request.
+// Skip reports whether a whole response belongs to another request than the one that was sent.
+type Skip func(*protocol.Response) bool
+
+// skippedMax limits the responses that are passed over for one request.
+const skippedMax = 4
+
+// DoAddress is DoSkip that takes the first response for the answer.
 func (c *Client) DoAddress(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
 	timeout time.Duration,
+) error {
+	return c.DoSkip(ctx, address, req, resp, timeout, nil)
+}
+
+// DoSkip sends the request once to address (host:port) and reads the whole response within the timeout. Responses for
+// which skip is true are passed over; the connection is not used again after one. It returns nil, a *NotSentError or a *LostError. The end of ctx closes the connection, and so does every error, so the
+// server notices a cancellation and a late response is never taken for the answer to a later request.
+func (c *Client) DoSkip(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
+	timeout time.Duration, skip Skip,
 ) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -118,7 +137,7 @@
 		return &NotSentError{Cause: preferContext(ctx, err)}
 	}
 	stop := context.AfterFunc(ctx, cn.abort)
-	reusable, err := c.exchange(cn, req, resp)
+	reusable, err := c.exchange(cn, req, resp, skip)
 	if !stop() {
 		// The context ended: the connection is closed, or about to be.
 		reusable = false
@@ -143,9 +162,7 @@
 }
 
 // exchange writes the request and reads the response. The first result says whether the connection can be reused.
-func (c *Client) exchange(cn *conn, req *protocol.Request, resp *protocol.Response) (bool, error) {
-	resp.Reset()
-	resp.Header.SetNoDefaultContentType(true)
+func (c *Client) exchange(cn *conn, req *protocol.Request, resp *protocol.Response, skip Skip) (bool, error) {
 	cn.written = 0
 	w := network.NewWriter(cn)
 	if err := reqI.Write(req, w); err != nil {
@@ -154,6 +171,25 @@
 	if err := w.Flush(); err != nil {
 		return false, err
 	}
+	for skipped := 0; skipped <= skippedMax; skipped++ {
+		framed, err := c.readResponse(cn, req, resp)
+		if err != nil {
+			return false, err
+		}
+		if skip != nil && skip(resp) {
+			continue
+		}
+		reusable := framed && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
+		cn.noteIdleTimeout(resp, c.limits.IdleTimeout)
+		return reusable, cn.reader.Release()
+	}
+	return false, fmt.Errorf("%w: %d responses to other requests", ErrCut, skippedMax+1)
+}
+
+// readResponse reads one whole response. framed is false if its body ended with the connection.
+func (c *Client) readResponse(cn *conn, req *protocol.Request, resp *protocol.Response) (framed bool, err error) {
+	resp.Reset()
+	resp.Header.SetNoDefaultContentType(true)
 	if req.Header.IsHead() {
 		resp.SkipBody = true
 	}
@@ -162,13 +198,32 @@
 		return false, err
 	}
 	if !resp.MustSkipBody() && resp.Header.ContentLength() == bodyUntilClose {
-		return false, ErrCut
+		return false, c.readUnframed(resp, cn.reader)
 	}
-	if err := c.readBody(resp, cn.reader); err != nil {
-		return false, err
+	return true, c.readBody(resp, cn.reader)
+}
+
+// readUnframed reads a body that ends with the connection. A response without Connection: close does not announce
+// such an end, but nothing else can end it.
+func (c *Client) readUnframed(resp *protocol.Response, r *reader) error {
+	if !c.limits.UnframedBodies {
+		return ErrCut
+	}
+	r.max = c.limits.BodyMaxBytes
+	for n := readBufferBytes; ; n = r.Len() + readBufferBytes {
+		if _, err := r.Peek(n); err != nil {
+			break
+		}
 	}
-	reusable := !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
-	return reusable, cn.reader.Release()
+	if !errors.Is(r.err, io.EOF) {
+		return cut(r, r.err)
+	}
+	body, err := r.ReadBinary(r.Len())
+	if err != nil {
+		return cut(r, err)
+	}
+	resp.SetBodyRaw(body)
+	return nil
 }
 
 // readHeaders reads the headers of the final response and skips informational ones.
--- a/server/transport/httpclient/pool.go
+++ b/server/transport/httpclient/pool.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"wagtailford.example/server/transport/socket"
 )
 
 const defaultPort = "80"
@@ -22,6 +27,8 @@
 	written int
 	// idle closes the connection when it stays unused.
 	idle *time.Timer
+	// idleTimeout is how long the connection may stay unused.
+	idleTimeout time.Duration
 }
 
 // Write counts the bytes written.
@@ -47,12 +54,39 @@
 func newPool(limits Limits) *pool {
 	return &pool{
 		limits: limits,
-		dialer: net.Dialer{Timeout: limits.DialTimeout},
+		dialer: dialer(limits),
 		open:   make(map[string]int),
 		idle:   make(map[string][]*conn),
 	}
 }
 
+func dialer(limits Limits) net.Dialer {
+	d := net.Dialer{Timeout: limits.DialTimeout}
+	if limits.KeepAlive > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: limits.KeepAlive, Interval: limits.KeepAlive, Count: 2}
+		d.Control = func(_, _ string, raw syscall.RawConn) error { return socket.LimitUnacknowledged(raw, limits.KeepAlive) }
+	}
+	return d
+}
+
+// keepAliveShare is the part of the idle timeout that a server states for which a connection is kept. The rest covers
+// the way of a request to the server and a process that is late.
+const keepAliveShare = 0.7
+
+// noteIdleTimeout takes the idle timeout that a server states in a field such as "Keep-Alive: timeout=5".
+func (c *conn) noteIdleTimeout(resp *protocol.Response, limit time.Duration) {
+	c.idleTimeout = limit
+	for part := range strings.SplitSeq(string(resp.Header.Peek("Keep-Alive")), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
+			c.idleTimeout = min(limit, time.Duration(keepAliveShare*float64(seconds)*float64(time.Second)))
+		}
+	}
+}
+
 // get returns an idle connection that is still open, or a new one.
 func (p *pool) get(ctx context.Context, address string) (*conn, error) {
 	if err := ctx.Err(); err != nil {
@@ -139,10 +173,10 @@
 	defer p.mu.Unlock()
 	p.idle[cn.address] = append(p.idle[cn.address], cn)
 	if cn.idle == nil {
-		cn.idle = time.AfterFunc(p.limits.IdleTimeout, func() { p.expire(cn) })
+		cn.idle = time.AfterFunc(cn.idleTimeout, func() { p.expire(cn) })
 		return
 	}
-	cn.idle.Reset(p.limits.IdleTimeout)
+	cn.idle.Reset(cn.idleTimeout)
 }
 
 // expire closes a connection that is still idle.
