Admit by due time and place by expected time to an answer

The queue at the executing node was bounded by the deadline, 2.5 s, while an answer is late after 0.6 s, so all of them waited until they were late; and the choice of a target sent two thirds of the answers across failure domains.

Ruled out: processor (0.008 cores), memory (46 MB), connections to targets.

Change: requests with an objective queue in the order of their due time and are refused when they would be late (coordination/admission); the target with the least expected time is chosen, with a cost for bytes between failure domains and a moving share of faults in place of ejection alone (routing.Cheapest); a caller that returns keeps the time it has waited (dispatch.patience); repeats after an answer have a smaller part of the fleet's limit (retry.FleetBudget); callers' connections are closed after the configured idle time.

--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -35,6 +35,9 @@
 	DefaultExclusiveWait = time.Second
 )
 
+// ClassMax is the highest class of requests that is told apart.
+const ClassMax = 15
+
 // slowStartMinimum is the number of slots of a target that has just started. With one slot, a single long request
 // would hide the target for its whole duration.
 const slowStartMinimum = 2
@@ -59,10 +62,25 @@
 	Reason outcome.Reason
 }
 
+// Arrival is a request at the target.
+type Arrival struct {
+	ID       uint64
+	Deadline time.Time
+	// Exclusive requests run alone.
+	Exclusive bool
+	// Class is the kind of request by which its service time is estimated, 0 to ClassMax.
+	Class int
+	// Due is when its answer is late; zero if it is never late before the deadline. Requests with a due time start in
+	// the order of these times and are refused when they would be late, the others start in the order of arrival.
+	Due time.Time
+}
+
 // waiter is a queued request.
 type waiter struct {
 	id       uint64
 	deadline time.Time
+	due      time.Time
+	class    int
 }
 
 // State is the state of admission at one target. It is changed by one caller at a time.
@@ -81,7 +99,9 @@
 	// blockedSince is the time since which slots stay empty for the first waiting suspect; zero if they don't.
 	blockedSince time.Time
 	serviceTime  time.Duration
-	actions      []Action
+	// classTimes are the moving means of the service time by class; 0 before the first request of a class ended.
+	classTimes [ClassMax + 1]time.Duration
+	actions    []Action
 }
 
 // New returns a state without requests, for a target that is not cold.
@@ -125,14 +145,19 @@
 // ServiceTime returns the moving mean of the time for which requests held a slot; 0 before the first one ended.
 func (s *State) ServiceTime() time.Duration { return s.serviceTime }
 
-// Arrive decides on a request. A queued one is settled by an action of a later call. The reason is set if the request
-// is refused.
+// Arrive decides on a request without due time.
 func (s *State) Arrive(now time.Time, id uint64, deadline time.Time, exclusive bool) (Verdict, outcome.Reason) {
-	if !now.Before(deadline) {
+	return s.Admit(now, Arrival{ID: id, Deadline: deadline, Exclusive: exclusive})
+}
+
+// Admit decides on a request. A queued one is settled by an action of a later call. The reason is set if the request
+// is refused.
+func (s *State) Admit(now time.Time, a Arrival) (Verdict, outcome.Reason) {
+	if !now.Before(a.Deadline) {
 		return Refused, outcome.ReasonDeadline
 	}
-	if exclusive {
-		return s.arriveExclusive(now, id, deadline)
+	if a.Exclusive {
+		return s.arriveExclusive(now, a.ID, a.Deadline)
 	}
 	if len(s.normal) == 0 && !s.closed() && s.inUse < s.Slots(now) {
 		s.inUse++
@@ -141,13 +166,49 @@
 	if len(s.normal) >= s.settings.Queue {
 		return Refused, outcome.ReasonQueueFull
 	}
-	if now.Add(s.wait(now, len(s.normal))).After(deadline) {
+	w := waiter{id: a.ID, deadline: a.Deadline, due: a.Due, class: a.Class}
+	at := s.place(w)
+	start := now.Add(s.wait(now, at))
+	if start.After(a.Deadline) {
 		return Refused, outcome.ReasonDeadline
 	}
-	s.normal = append(s.normal, waiter{id: id, deadline: deadline})
+	if !a.Due.IsZero() && start.Add(s.ClassTime(a.Class)).After(a.Due) {
+		return Refused, outcome.ReasonQueueFull
+	}
+	s.normal = slices.Insert(s.normal, at, w)
 	return Queued, outcome.ReasonNone
 }
 
+// place returns the position of a request in the queue: before the first one that is due later.
+func (s *State) place(w waiter) int {
+	if w.due.IsZero() {
+		return len(s.normal)
+	}
+	at := slices.IndexFunc(s.normal, func(other waiter) bool { return other.due.After(w.due) })
+	if at < 0 {
+		return len(s.normal)
+	}
+	return at
+}
+
+// ClassTime returns the estimate of the service time of a class: its own moving mean, or that of all requests.
+func (s *State) ClassTime(class int) time.Duration {
+	if t := s.classTimes[classIndex(class)]; t > 0 {
+		return t
+	}
+	return s.serviceTime
+}
+
+// Wait returns the time after which a request that arrives now would start.
+func (s *State) Wait(now time.Time) time.Duration {
+	if len(s.normal) == 0 && !s.closed() && s.inUse < s.Slots(now) {
+		return 0
+	}
+	return s.wait(now, len(s.normal))
+}
+
+func classIndex(class int) int { return min(max(class, 0), ClassMax) }
+
 func (s *State) arriveExclusive(now time.Time, id uint64, deadline time.Time) (Verdict, outcome.Reason) {
 	if s.inUse == 0 && s.Queued() == 0 {
 		s.startAlone()
@@ -190,7 +251,12 @@
 
 // Finish ends a request that was granted at started.
 func (s *State) Finish(now, started time.Time) []Action {
-	s.observe(now.Sub(started))
+	s.Observe(now.Sub(started), 0)
+	return s.Free(now)
+}
+
+// Free gives a slot back.
+func (s *State) Free(now time.Time) []Action {
 	s.inUse--
 	if s.alone {
 		s.alone = false
@@ -199,12 +265,19 @@
 	return s.settle(now)
 }
 
-func (s *State) observe(d time.Duration) {
-	if s.serviceTime == 0 {
-		s.serviceTime = d
-		return
+// Observe notes how long a request of a class held its slot.
+func (s *State) Observe(d time.Duration, class int) {
+	s.serviceTime = average(s.serviceTime, d)
+	own := &s.classTimes[classIndex(class)]
+	*own = average(*own, d)
+}
+
+// average moves a mean by a new observation; the first one sets it.
+func average(mean, d time.Duration) time.Duration {
+	if mean == 0 {
+		return d
 	}
-	s.serviceTime += time.Duration(serviceTimeWeight * float64(d-s.serviceTime))
+	return mean + time.Duration(serviceTimeWeight*float64(d-mean))
 }
 
 // Abandon removes a queued request that is no longer wanted. It is no error if the request is not queued.
@@ -239,6 +312,7 @@
 func (s *State) settle(now time.Time) []Action {
 	s.actions = s.actions[:0]
 	s.normal = s.dropLate(now, s.normal)
+	s.dropHopeless(now)
 	s.exclusive = s.dropLate(now, s.exclusive)
 	s.turn = min(s.turn, len(s.normal))
 	s.unblock()
@@ -259,6 +333,27 @@
 	})
 }
 
+// hopelessShare is the part of the estimated service time that must remain before the due time of a request that
+// starts. Service times vary, so a request with less than the mean left is often still in time.
+const hopelessShare = 0.6
+
+// dropHopeless refuses requests that would be late although others wait that would not: the work would bring less than
+// the same work for the next one.
+func (s *State) dropHopeless(now time.Time) {
+	if s.inUse >= s.Slots(now) {
+		return
+	}
+	for len(s.normal) > 1 {
+		w := s.normal[0]
+		needed := time.Duration(hopelessShare * float64(s.ClassTime(w.class)))
+		if w.due.IsZero() || !now.Add(needed).After(w.due) {
+			return
+		}
+		s.actions = append(s.actions, Action{ID: w.id, Reason: outcome.ReasonQueueFull})
+		s.normal = slices.Delete(s.normal, 0, 1)
+	}
+}
+
 func (s *State) refuseOverdue(now time.Time) {
 	due, blocked := s.ExclusiveDue()
 	if !blocked || now.Before(due) || s.inUse == 0 {
--- a/server/coordination/admission/gate.go
+++ b/server/coordination/admission/gate.go
@@ -41,20 +41,74 @@
 	return g.state.ServiceTime()
 }
 
-// Enter waits for a slot until the deadline or the end of ctx. It returns a function that gives the slot back, which
-// may be called more than once, or the reason of the refusal. An exclusive request runs alone.
+// Load is what a gate expects of the next request.
+type Load struct {
+	InUse, Queued, Slots int
+	// Wait is the time until a request that arrives now would start, Service how long one of its class takes.
+	Wait, Service time.Duration
+}
+
+// Load returns the load for a class of requests.
+func (g *Gate) Load(class int) Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return Load{
+		InUse: g.state.InUse(), Queued: g.state.Queued(), Slots: g.state.Slots(now),
+		Wait: g.state.Wait(now), Service: g.state.ClassTime(class),
+	}
+}
+
+// Enter is EnterAs for a request without due time. It returns a function that gives the slot back, which may be called
+// more than once, or the reason of the refusal.
 func (g *Gate) Enter(ctx context.Context, deadline time.Time, exclusive bool) (func(), outcome.Reason) {
+	slot, reason := g.EnterAs(ctx, Arrival{Deadline: deadline, Exclusive: exclusive})
+	if slot == nil {
+		return nil, reason
+	}
+	return func() { slot.Release(true) }, outcome.ReasonNone
+}
+
+// Slot is held by one request.
+type Slot struct {
+	gate    *Gate
+	class   int
+	started time.Time
+	// released is guarded by the lock of the gate.
+	released bool
+}
+
+// Release gives the slot back; it may be called more than once. ran is false if the target did not run the request, so
+// that the time says nothing about its service time.
+func (s *Slot) Release(ran bool) {
+	g := s.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.released {
+		return
+	}
+	s.released = true
+	now := time.Now()
+	if ran {
+		g.state.Observe(now.Sub(s.started), s.class)
+	}
+	g.apply(g.state.Free(now))
+}
+
+// EnterAs waits for a slot until the deadline or the end of ctx, and returns it or the reason of the refusal. The gate
+// sets the id of the arrival.
+func (g *Gate) EnterAs(ctx context.Context, a Arrival) (*Slot, outcome.Reason) {
 	if ctx.Err() != nil {
 		return nil, endReason(ctx)
 	}
-	id, turn, reason := g.arrive(deadline, exclusive)
+	id, turn, reason := g.arrive(a)
 	if reason != outcome.ReasonNone {
 		return nil, reason
 	}
 	if turn == nil {
-		return g.releaser(), outcome.ReasonNone
+		return g.slot(a.Class), outcome.ReasonNone
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(time.Until(a.Deadline))
 	defer timer.Stop()
 	select {
 	case reason = <-turn:
@@ -66,15 +120,16 @@
 	if reason != outcome.ReasonNone {
 		return nil, reason
 	}
-	return g.releaser(), outcome.ReasonNone
+	return g.slot(a.Class), outcome.ReasonNone
 }
 
 // arrive returns a channel if the request is queued.
-func (g *Gate) arrive(deadline time.Time, exclusive bool) (uint64, chan outcome.Reason, outcome.Reason) {
+func (g *Gate) arrive(a Arrival) (uint64, chan outcome.Reason, outcome.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastID++
-	verdict, reason := g.state.Arrive(time.Now(), g.lastID, deadline, exclusive)
+	a.ID = g.lastID
+	verdict, reason := g.state.Admit(time.Now(), a)
 	g.count()
 	if verdict != Queued {
 		return g.lastID, nil, reason
@@ -97,19 +152,8 @@
 	return reason
 }
 
-// releaser returns the function that gives a slot back once.
-func (g *Gate) releaser() func() {
-	started := time.Now()
-	released := false
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if released {
-			return
-		}
-		released = true
-		g.apply(g.state.Finish(time.Now(), started))
-	}
+func (g *Gate) slot(class int) *Slot {
+	return &Slot{gate: g, class: class, started: time.Now()}
 }
 
 // apply wakes the requests that were settled.
--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -53,6 +53,7 @@
 	// DefaultTimeout applies if neither the caller nor the route sets a limit.
 	DefaultTimeout time.Duration
 	Routing        routing.Settings
+	Weights        routing.Weights
 	Repeats        retry.FleetLimit
 }
 
@@ -82,7 +83,7 @@
 }
 
 // limitsOf returns the bounds of a request that arrived at now.
-func limitsOf(route *config.Route, r *Request, now time.Time, fallback time.Duration) limits {
+func limitsOf(route *config.Route, r *Request, now time.Time, fallback, elapsed time.Duration) limits {
 	timeout := fallback
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -92,12 +93,21 @@
 	}
 	l := limits{deadline: now.Add(timeout), attempts: max(1, int(route.MaxAttempts))}
 	l.objective = l.deadline
-	if route.LatencyObjective > 0 && route.LatencyObjective < timeout {
-		l.objective = now.Add(route.LatencyObjective)
+	if route.LatencyObjective > 0 {
+		l.objective = now.Add(min(objectiveLeft(route.LatencyObjective, elapsed), timeout))
 	}
 	return l
 }
 
+// objectiveLeft returns the time until an answer is late. A caller that returns after a refusal has used some of it,
+// and so goes before those that have just come. One that is late already is treated like those.
+func objectiveLeft(objective, elapsed time.Duration) time.Duration {
+	if elapsed >= objective {
+		return objective
+	}
+	return objective - elapsed
+}
+
 // candidates returns the members of a service that may take new work.
 func (h *Handler) candidates(v *view.View, service string) []*endpoint.Entry {
 	return routing.Candidates(v.ByService[service], nil, h.settings.Routing.PanicFraction)
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -26,6 +26,8 @@
 	tracker  *routing.Tracker
 	splitter *routing.Splitter
 	budget   *retry.FleetBudget
+	sizes    sizes
+	patience patience
 	attempt  atomic.Uint64
 	counters Counters
 	// retained is the view for which the observations were last pruned.
@@ -85,7 +87,7 @@
 		h:          h,
 		view:       v,
 		trace:      trace,
-		limits:     limitsOf(route, r, trace.Started, h.settings.DefaultTimeout),
+		limits:     limitsOf(route, r, trace.Started, h.settings.DefaultTimeout, h.patience.elapsed(route.Name, r.Timeout)),
 		service:    destination.Service,
 		idempotent: routing.Idempotent(route, r.Method),
 		request: wire.Request{
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -22,8 +22,6 @@
 	answerGrace = 20 * time.Millisecond
 	// cancelTimeout limits the call that tells a node that the caller has gone.
 	cancelTimeout = time.Second
-	// notReported as slots in use means that an attempt brought no report.
-	notReported = -1
 )
 
 // job is one request on its way to its outcome. One goroutine uses it.
@@ -57,7 +55,7 @@
 		if target == nil {
 			return j.final(refuse(outcome.ReasonNoTarget))
 		}
-		if j.arrivals > 0 && !j.h.budget.Take(j.service, time.Now().UnixMilli()) {
+		if j.arrivals > 0 && !j.h.budget.Take(j.service, j.failure != nil, time.Now().UnixMilli()) {
 			j.trace.BudgetExhausted = true
 			return j.final(refuse(outcome.ReasonAttemptsExhausted))
 		}
@@ -70,7 +68,7 @@
 
 // choose returns the next target, or nil if there is none that the request was not offered to.
 func (j *job) choose() *endpoint.Entry {
-	target := routing.Choose(&routing.Choice{
+	target := routing.Cheapest(&routing.Choice{
 		Candidates: j.h.candidates(j.view, j.service),
 		Stat:       j.h.tracker.Stat,
 		Exclude:    j.tried,
@@ -78,10 +76,7 @@
 		NowMS:      time.Now().UnixMilli(),
 		Settings:   j.h.settings.Routing,
 		Random:     j.h.deps.Random,
-	})
-	if target == nil || j.tried[target.Node] {
-		return nil
-	}
+	}, routing.Demand{Class: j.request.Priority, Bytes: j.h.sizes.expected(j.trace.Route)}, j.h.settings.Weights, j.h.settings.Node)
 	return target
 }
 
@@ -93,12 +88,19 @@
 	tracked := j.h.tracker.Begin(target.Node, now.UnixMilli())
 	response, reported := j.send(ctx, target, now)
 	ended := time.Now()
-	inUse := notReported
+	var report *routing.Report
 	if reported {
-		inUse = response.InUse
+		report = &routing.Report{
+			InUse: response.InUse, Queued: response.Queued, Class: j.request.Priority,
+			Service: time.Duration(response.ServiceMS) * time.Millisecond,
+			Shed:    response.Reason == outcome.ReasonTargetFull,
+		}
 	}
 	result := routing.ResultOf(response.Outcome, response.Reason, response.Status)
-	j.h.tracker.End(tracked, result, inUse, response.Queued, ended.UnixMilli())
+	j.h.tracker.EndReported(tracked, result, report, ended.UnixMilli())
+	if response.Outcome == outcome.Answered {
+		j.h.sizes.observe(j.trace.Route, len(j.request.Body)+len(response.Body))
+	}
 	switch {
 	case response.Arrived:
 		j.arrivals++
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -229,18 +229,18 @@
 		reason = e.enter(r)
 	}
 	if reason != outcome.ReasonNone {
-		return e.count(refused(reason))
+		return e.count(refused(reason), r.Priority)
 	}
 	defer e.leave()
 	deadline := time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer e.attempts.add(r.From, r.ID, cancel)()
-	return e.count(e.admit(ctx, r, deadline))
+	return e.count(e.admit(ctx, r, deadline), r.Priority)
 }
 
 // count counts a response and adds the load of the node to a copy of it.
-func (e *Executor) count(r *wire.Response) *wire.Response {
+func (e *Executor) count(r *wire.Response, class int) *wire.Response {
 	switch r.Outcome {
 	case outcome.Answered:
 		e.Counters.Answered.Add(1)
@@ -253,31 +253,46 @@
 		e.Counters.Cancelled.Add(1)
 	}
 	loaded := *r
-	loaded.InUse = int(e.Gate.InUse.Load())
-	loaded.Queued = int(e.Gate.Queued.Load())
+	load := e.Gate.Load(class)
+	loaded.InUse = load.InUse
+	loaded.Queued = load.Queued
+	loaded.Slots = load.Slots
+	loaded.WaitMS = load.Wait.Milliseconds()
+	loaded.ServiceMS = load.Service.Milliseconds()
 	return &loaded
 }
 
 // admit waits for a slot and runs the request on a worker.
 func (e *Executor) admit(ctx context.Context, r *wire.Request, deadline time.Time) *wire.Response {
 	digest := suspect.Digest(r.Service, r.Method, r.Path, r.Body)
-	release, alone, reason := e.slot(ctx, digest, deadline)
+	slot, alone, reason := e.slot(ctx, digest, arrival(r, deadline))
 	if reason != outcome.ReasonNone {
 		return refused(reason)
 	}
-	defer release()
 	e.Counters.Admitted.Add(1)
 	done := make(chan *wire.Response, 1)
 	err := e.pool.Submit(func() { done <- e.begin(ctx, r, digest, alone) })
 	if err != nil {
+		slot.Release(false)
 		return refused(outcome.ReasonOverloaded)
 	}
-	return <-done
+	response := <-done
+	slot.Release(response.Outcome != outcome.RefusedNotRun)
+	return response
+}
+
+// arrival describes a request to the gate.
+func arrival(r *wire.Request, deadline time.Time) admission.Arrival {
+	a := admission.Arrival{Deadline: deadline, Class: r.Priority}
+	if r.ObjectiveMS > 0 {
+		a.Due = deadline.Add(time.Duration(r.ObjectiveMS-r.TimeoutMS) * time.Millisecond)
+	}
+	return a
 }
 
 // slot enters the gate, alone if the request is a suspect. The standing is judged again when the slot is granted,
 // since the request may have crashed the target while this one waited.
-func (e *Executor) slot(ctx context.Context, digest uint64, deadline time.Time) (func(), bool, outcome.Reason) {
+func (e *Executor) slot(ctx context.Context, digest uint64, a admission.Arrival) (*admission.Slot, bool, outcome.Reason) {
 	standing := e.judge(digest)
 	for {
 		if standing == suspect.Blocked {
@@ -285,15 +300,16 @@
 			return nil, false, outcome.ReasonSuspect
 		}
 		alone := standing == suspect.Suspected
-		release, reason := e.Gate.Enter(ctx, deadline, alone)
+		a.Exclusive = alone
+		slot, reason := e.Gate.EnterAs(ctx, a)
 		if reason != outcome.ReasonNone {
 			return nil, false, reason
 		}
 		standing = e.judge(digest)
 		if standing == suspect.Clear || (standing == suspect.Suspected && alone) {
-			return release, alone, outcome.ReasonNone
+			return slot, alone, outcome.ReasonNone
 		}
-		release()
+		slot.Release(false)
 	}
 }
 
--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -152,4 +152,3 @@
 	f.failing = false
 	f.logger.WithField("event", "dependency_regained").Info("configuration source reachable again")
 }
-
--- a/server/coordination/retry/fleet.go
+++ b/server/coordination/retry/fleet.go
@@ -16,7 +16,10 @@
 const (
 	// fleetShare is the part of the fleet's limit that the nodes use together. The rest covers nodes that are not
 	// known yet, that restarted without memory of their repeats, and requests that ended before they were counted.
-	fleetShare = 0.6
+	fleetShare = 0.5
+	// errorShare is the part of it for repeats of requests that their target ran and answered with an error. A target
+	// that runs a request again makes its own calls again, and those count as repeats at the services that it calls.
+	errorShare = 0.2
 	// fleetBuckets is the number of parts in which a window is counted.
 	fleetBuckets = 10
 	// fleetServicesMax limits the services counted; when it is reached all start anew.
@@ -60,12 +63,16 @@
 	w.firsts[w.last%int64(len(w.firsts))]++
 }
 
-// Take counts a repeat and reports whether it is within the limit; otherwise nothing is counted.
-func (b *FleetBudget) Take(service string, nowMS int64) bool {
+// Take counts a repeat and reports whether it is within the limit; otherwise nothing is counted. ran is true if a target
+// certainly ran the request before.
+func (b *FleetBudget) Take(service string, ran bool, nowMS int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, nowMS)
 	allowed := fleetShare * (b.limit.Ratio*float64(w.fullFirsts()) + b.limit.Slack/float64(b.nodes))
+	if ran {
+		allowed *= errorShare
+	}
 	if float64(sum(w.repeats[:])+1) > allowed {
 		w.refused++
 		return false
--- a/server/coordination/routing/choose.go
+++ b/server/coordination/routing/choose.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// classes is the number of kinds of requests whose service times are told apart.
+const classes = 8
+
 // Stat is what this node observed of another one. Times are Unix milliseconds.
 type Stat struct {
 	// Outstanding are this node's requests without a response.
@@ -51,6 +54,13 @@
 	// InUse and Queued are the last reported slots in use and queue length, ReportedMS the time of the report.
 	InUse, Queued int
 	ReportedMS    int64
+	// Others are the requests of other nodes at the target at the time of the report.
+	Others int
+	// Service are the service times that the target's node stated, by class.
+	Service [classes]time.Duration
+	// Faults is the moving share of attempts that failed or were shed by the target, at FaultsMS.
+	Faults   float64
+	FaultsMS int64
 	// Failures are consecutive failures.
 	Failures int
 	// EjectedUntilMS is the end of the ejection; 0 if the node is not ejected.
--- /dev/null
+++ b/server/coordination/routing/score.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"time"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Costs of a target beside the wait for it. They are times, because a caller pays them in time.
+const (
+	// domainCost is the cost of another node in the same failure domain: a way there and back, and the work of one
+	// more process.
+	domainCost = time.Millisecond
+	// faultCost is the cost of a target all of whose recent attempts failed. It is above the waits that a queue
+	// allows, so such a target is used only if all are alike.
+	faultCost = 2 * time.Second
+	// jitterShare is the part by which costs vary at random, so that nodes with the same view differ in their choice.
+	jitterShare = 0.2
+	// unknownService is the estimated service time at a target that has not stated one. It is low, so that a new
+	// target is tried soon.
+	unknownService = 20 * time.Millisecond
+	// messageBytesMin is the size of a message without a body, in bytes.
+	messageBytesMin = 512
+)
+
+// Demand is what a request asks of its target.
+type Demand struct {
+	// Class is the kind of request by which service times are told apart.
+	Class int
+	// Bytes is the expected size of request and answer together.
+	Bytes int
+}
+
+// Weights are the settings of Cheapest.
+type Weights struct {
+	// DomainByteCost is how much longer a caller may wait inside the failure domain before a kilobyte is sent to
+	// another one.
+	DomainByteCost time.Duration
+	// RegionCost is the cost of a target in another region.
+	RegionCost time.Duration
+}
+
+// Cheapest returns the candidate with the least expected time to an answer, with the cost of its distance and of its
+// recent faults added; nil if there is none. Candidates in Exclude are left out. An ejected candidate is taken only if
+// there is no other.
+//
+// It answers three load patterns: near targets are used up to the point at which a wait there is worse than the way to
+// another failure domain; slow targets get less work than fast ones; and a target that fails part of its requests while
+// its health is good gets little work without a verdict that could hit all targets at once.
+func Cheapest(c *Choice, d Demand, w Weights, self string) *endpoint.Entry {
+	var best, fallback *endpoint.Entry
+	var bestCost, fallbackCost time.Duration
+	for _, e := range c.Candidates {
+		if c.Exclude[e.Node] {
+			continue
+		}
+		s := c.Stat(e.Node)
+		cost := c.cost(e, s, d, w, self)
+		if !s.Usable(c.NowMS) {
+			if fallback == nil || cost < fallbackCost {
+				fallback, fallbackCost = e, cost
+			}
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return fallback
+	}
+	return best
+}
+
+func (c *Choice) cost(e *endpoint.Entry, s Stat, d Demand, w Weights, self string) time.Duration {
+	service := s.service(d.Class)
+	cold := warmth(e, c.NowMS, c.Settings.SlowStart)
+	cost := time.Duration(float64(service)/max(cold, coldShareMin)) + s.Wait(e, c.NowMS, service)
+	cost += time.Duration(s.FaultsAt(c.NowMS) * float64(faultCost))
+	random := float64(c.Random()>>11) / (1 << 53)
+	cost = time.Duration(float64(cost) * (1 - jitterShare/2 + jitterShare*random))
+	return cost + c.distanceCost(e, d, w, self)
+}
+
+// coldShareMin is the least speed that a cold target is taken to have.
+const coldShareMin = 0.5
+
+func (c *Choice) distanceCost(e *endpoint.Entry, d Demand, w Weights, self string) time.Duration {
+	if e.Node == self {
+		return 0
+	}
+	tier := c.Place.tier(e)
+	if tier == tierDomain {
+		return domainCost
+	}
+	kilobytes := float64(messageBytesMin+d.Bytes) / 1024
+	cost := domainCost + time.Duration(kilobytes*float64(w.DomainByteCost))
+	if tier == tierAnywhere {
+		cost += w.RegionCost
+	}
+	return cost
+}
+
+// service returns the stated service time of a class, or that of any other class.
+func (s Stat) service(class int) time.Duration {
+	if t := s.Service[min(max(class, 0), len(s.Service)-1)]; t > 0 {
+		return t
+	}
+	for _, t := range s.Service {
+		if t > 0 {
+			return t
+		}
+	}
+	return unknownService
+}
+
+// Wait returns the expected time until a request starts, from the load that the target stated, which fades with its
+// age, and this node's own requests there.
+func (s Stat) Wait(e *endpoint.Entry, nowMS int64, service time.Duration) time.Duration {
+	slots := e.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	others := 0.0
+	if age := nowMS - s.ReportedMS; age < reportedMaxAge.Milliseconds() {
+		others = float64(s.Others) * min(1-float64(age)/float64(reportedMaxAge.Milliseconds()), 1)
+	}
+	excess := others + float64(s.Outstanding) + 1 - float64(slots)
+	if excess <= 0 {
+		return 0
+	}
+	return time.Duration(excess * float64(service) / float64(slots))
+}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -1,7 +1,9 @@
 package routing
 
 import (
+	"math"
 	"sync"
+	"time"
 
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/state/endpoint"
@@ -89,6 +91,58 @@
 	*a.stat = next
 }
 
+// Report is what a target's node stated with an answer.
+type Report struct {
+	InUse, Queued int
+	// Class is the kind of the request, Service the service time of that kind; 0 if it is not known.
+	Class   int
+	Service time.Duration
+	// Shed is true if the target refused the request.
+	Shed bool
+}
+
+// faultWeight is the share of a new attempt in Stat.Faults.
+const faultWeight = 0.1
+
+// faultHalfLife is the time in which the share of faults halves without new attempts, so that a target which gets no
+// work for its faults is tried again.
+const faultHalfLife = 2 * time.Second
+
+// FaultsAt returns the share of faults at a time.
+func (s Stat) FaultsAt(nowMS int64) float64 {
+	age := max(nowMS-s.FaultsMS, 0)
+	return s.Faults * math.Exp2(-float64(age)/float64(faultHalfLife.Milliseconds()))
+}
+
+// EndReported ends an attempt. report is nil if the target's node did not answer.
+func (t *Tracker) EndReported(a Attempt, result Result, report *Report, nowMS int64) {
+	if a.stat == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := Observe(*a.stat, result, a.probe, nowMS, t.settings)
+	fault := 0.0
+	if result == Failed || (report != nil && report.Shed) {
+		fault = 1
+	}
+	if result != Neutral {
+		known := next.FaultsAt(nowMS)
+		next.Faults = known + faultWeight*(fault-known)
+		next.FaultsMS = nowMS
+	}
+	if report != nil {
+		next.InUse = report.InUse
+		next.Queued = report.Queued
+		next.ReportedMS = nowMS
+		next.Others = max(report.InUse+report.Queued-next.Outstanding, 0)
+		if report.Service > 0 {
+			next.Service[min(max(report.Class, 0), classes-1)] = report.Service
+		}
+	}
+	*a.stat = next
+}
+
 // Observe returns the observations after an attempt ended. EjectFailures consecutive failures eject; a failed
 // probe ejects again, a successful one ends the ejection.
 func Observe(s Stat, result Result, probe bool, nowMS int64, settings Settings) Stat {
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -175,6 +175,7 @@
 		TriesMax:       triesMax,
 		DefaultTimeout: s.Routing.DefaultTimeout,
 		Routing:        rules,
+		Weights:        routing.Weights{DomainByteCost: s.Routing.DomainByteCost, RegionCost: s.Routing.RegionCost},
 		Repeats: retry.FleetLimit{
 			Ratio: s.Routing.RetryFraction, Slack: float64(s.Routing.RepeatSlack), Window: s.Routing.RepeatWindow,
 		},
--- a/server/daemon/hosted_serve.go
+++ b/server/daemon/hosted_serve.go
@@ -29,6 +29,7 @@
 		Convergence: func() any { return h.control.Installs() },
 		Profile:     h.settings.Listen.Profile,
 	})
+	h.work.Go(func() { h.closeIdleCallers(ctx, callers) })
 	l.http = []*server.Hertz{callers, targets, ready, metrics}
 	r.run("peer listener", func() error { return h.peers.Serve(l.peer) })
 	r.run("ingress listener", callers.Run)
@@ -38,6 +39,26 @@
 	return r.failed
 }
 
+// idleInterval is the time between two searches for idle connections. Callers stay well below the idle timeout, so a
+// search that is a little late costs nothing but connections.
+const idleInterval = time.Second
+
+// closeIdleCallers closes connections of callers that wait longer than the configuration allows.
+func (h *Hosted) closeIdleCallers(ctx context.Context, callers *server.Hertz) {
+	ticker := time.NewTicker(idleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if content := h.control.View().Content; content != nil && content.CallerIdleTimeout > 0 {
+			httpserver.CloseIdle(callers, content.CallerIdleTimeout)
+		}
+	}
+}
+
 // metrics returns the counters of all parts.
 func (h *Hosted) metrics() map[string]any {
 	return map[string]any{
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -104,6 +104,8 @@
 		duration("slow_start", &r.SlowStart, "10s", 0, 10*time.Minute, "time over which a new target gets its full share"),
 		integer("max_depth", &r.MaxDepth, "16", 1, 64, "hops of a call chain"),
 		duration("repeat_window", &r.RepeatWindow, "10s", time.Second, 10*time.Minute, "time over which all nodes together count repeats"),
+		duration("domain_byte_cost", &r.DomainByteCost, "40ms", 0, 10*time.Second, "wait inside the failure domain that is preferred to sending a kilobyte to another one"),
+		duration("region_cost", &r.RegionCost, "50ms", 0, 10*time.Second, "wait inside the region that is preferred to a target in another one"),
 		integer("repeat_slack", &r.RepeatSlack, "50", 0, 100000, "repeats of all nodes together in a window beside retry_fraction"),
 	)
 }
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -118,6 +118,9 @@
 	// RepeatWindow and RepeatSlack complete RetryFraction to a limit over all nodes together.
 	RepeatWindow time.Duration
 	RepeatSlack  int
+	// DomainByteCost and RegionCost are how much longer a caller may wait nearby before a request goes farther.
+	DomainByteCost time.Duration
+	RegionCost     time.Duration
 }
 
 // Admission holds the limits of work in progress.
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -153,8 +153,11 @@
 	Queued int
 	// Arrived is true if any byte of the request was sent to the target.
 	Arrived bool
-	// WaitMS is the time after which the node expects a free slot, in milliseconds, if it refused for lack of one.
-	WaitMS int64
+	// Slots is the number of requests that the target takes at a time.
+	Slots int
+	// WaitMS is the time until a request that arrives now would start, ServiceMS the mean time that requests of this
+	// kind take, in milliseconds.
+	WaitMS, ServiceMS int64
 }
 
 // CancelArgs says that the caller of a request is gone.
--- a/server/state/config/types.go
+++ b/server/state/config/types.go
@@ -72,6 +72,8 @@
 type Content struct {
 	Services []Service `msgpack:"s"`
 	Routes   []Route   `msgpack:"r"`
+	// CallerIdleTimeout is how long a caller's connection may wait for its next request; 0 means the daemon's default.
+	CallerIdleTimeout time.Duration `msgpack:"it,omitempty"`
 }
 
 // Record is one record of the log stream, as read from the log or passed on by a parent.
--- a/server/state/config/validate.go
+++ b/server/state/config/validate.go
@@ -31,7 +31,7 @@
 
 // sorted returns the content with its slices sorted by name.
 func sorted(c *Content) *Content {
-	out := &Content{Services: slices.Clone(c.Services), Routes: slices.Clone(c.Routes)}
+	out := &Content{Services: slices.Clone(c.Services), Routes: slices.Clone(c.Routes), CallerIdleTimeout: c.CallerIdleTimeout}
 	slices.SortStableFunc(out.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(out.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	return out
--- a/server/transport/httpserver/conn.go
+++ b/server/transport/httpserver/conn.go
@@ -3,11 +3,15 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
 )
 
 // listener closes connections beyond a maximum at once and knows the open ones.
@@ -41,7 +45,7 @@
 			accepted.Close()
 			continue
 		}
-		c := &conn{Conn: accepted, listener: l}
+		c := &conn{Conn: accepted, listener: l, waitingSince: time.Now()}
 		// The library sets a time limit only when it reads the second request of a connection.
 		if l.limits.ReadTimeout > 0 {
 			_ = accepted.SetReadDeadline(time.Now().Add(l.limits.ReadTimeout))
@@ -67,6 +71,21 @@
 	}
 }
 
+// CloseIdle closes the connections of a server of this package that have waited for a request for at least idle.
+func CloseIdle(h *server.Hertz, idle time.Duration) {
+	l, ok := h.GetOptions().Listener.(*listener)
+	if !ok {
+		return
+	}
+	since := time.Now().Add(-idle)
+	l.mu.Lock()
+	conns := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	for _, c := range conns {
+		c.closeIdle(since)
+	}
+}
+
 func (l *listener) isStopping() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -106,6 +125,8 @@
 	requests int
 	// timedOut is true after a request was not read in time.
 	timedOut bool
+	// waitingSince is the start of the current wait for a request.
+	waitingSince time.Time
 }
 
 // next starts a request. Bytes of it may have been read together with the previous one.
@@ -134,6 +155,7 @@
 	c.mu.Lock()
 	if c.phase == handling {
 		c.phase = waiting
+		c.waitingSince = time.Now()
 	}
 	c.mu.Unlock()
 	if c.listener.isStopping() {
@@ -141,9 +163,12 @@
 	}
 }
 
-func (c *conn) closeWaiting() {
+func (c *conn) closeWaiting() { c.closeIdle(time.Now()) }
+
+// closeIdle closes the connection if it has waited for a request since a time or longer.
+func (c *conn) closeIdle(since time.Time) {
 	c.mu.Lock()
-	idle := c.phase == waiting
+	idle := c.phase == waiting && !c.waitingSince.After(since)
 	if idle {
 		c.phase = closed
 	}
