Let nodes read configurations themselves before peers pass them on

Every node reads the store, but each change was also sent whole to every peer that had not yet read it.

Change: peers pass a new state on after 800 ms (control.Settings.SourceGrace), which a node needs only when it lost the store. Requests from another failure domain keep a larger reserve before their due time, and all keep 1.6 times the estimated service time.

Ruled out: compression (bodies do not compress), fewer headers (300 bytes of 5,000).

--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -70,6 +70,8 @@
 	Exclusive bool
 	// Class is the kind of request by which its service time is estimated, 0 to ClassMax.
 	Class int
+	// Far is true if the request comes from another failure domain.
+	Far bool
 	// Due is when its answer is late; zero if it is never late before the deadline. Requests with a due time start in
 	// the order of these times and are refused when they would be late, the others start in the order of arrival.
 	Due time.Time
@@ -172,13 +174,31 @@
 	if start.After(a.Deadline) {
 		return Refused, outcome.ReasonDeadline
 	}
-	if !a.Due.IsZero() && start.Add(s.ClassTime(a.Class)).After(a.Due) {
+	if !a.Due.IsZero() && start.Add(s.reserve(a)).After(a.Due) {
 		return Refused, outcome.ReasonQueueFull
 	}
 	s.normal = slices.Insert(s.normal, at, w)
 	return Queued, outcome.ReasonNone
 }
 
+const (
+	// dueReserve is the part of the estimated service time that is kept free before the due time. Service times vary,
+	// so with the mean alone half of the requests that wait would be late.
+	dueReserve = 1.6
+	// farReserve is the same for a request from another failure domain. When all are full, each serves its own callers
+	// first, which sends fewer bytes between them for the same number of answers.
+	farReserve = 2.2
+)
+
+// reserve returns the time that must remain between the start of a request and its due time.
+func (s *State) reserve(a Arrival) time.Duration {
+	share := dueReserve
+	if a.Far {
+		share = farReserve
+	}
+	return time.Duration(share * float64(s.ClassTime(a.Class)))
+}
+
 // place returns the position of a request in the queue: before the first one that is due later.
 func (s *State) place(w waiter) int {
 	if w.due.IsZero() {
--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -52,6 +52,7 @@
 		l.counter.blocked.Store(0)
 	}
 	l.window.reset(state.Offset())
+	l.installed = time.Now()
 	l.highest = max(l.highest, state.Offset())
 	l.updateReady()
 	l.publishView()
@@ -145,12 +146,20 @@
 }
 
 func (l *Loop) publishNews() {
-	l.newsPending = false
 	l.passable = l.table.Sequence()
-	l.passableOffset = l.state.Load().Offset()
+	if wait := l.sourceGraceLeft(time.Now()); wait > 0 {
+		l.graceTimer.Reset(wait)
+	} else {
+		l.passableOffset = l.state.Load().Offset()
+	}
 	l.news.fire()
 }
 
+// sourceGraceLeft returns the time until the state is passed on to peers; 0 or less if it is.
+func (l *Loop) sourceGraceLeft(now time.Time) time.Duration {
+	return l.installed.Add(l.settings.SourceGrace).Sub(now)
+}
+
 // publishView builds a view of the current state and table and replaces the old one.
 func (l *Loop) publishView() {
 	l.viewPending = false
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -57,10 +57,14 @@
 	// open polls are answered when the poller lacks something up to there.
 	passable       uint64
 	passableOffset uint64
+	// installed is the time of the last change of the state.
+	installed time.Time
 	// blockedAt is the offset of the record of an unknown rule version that stopped the fold; 0 if there is none.
 	blockedAt                uint64
 	viewTimer, newsTimer     *time.Timer
 	viewPending, newsPending bool
+	// graceTimer passes a state on after the source grace.
+	graceTimer *time.Timer
 }
 
 // contact is the time of the last contact in the sense of rule R6; alone is true if the node knows no other live node.
@@ -113,6 +117,7 @@
 	wg.Go(func() { l.notify.run(ctx) })
 	l.viewTimer = stoppedTimer()
 	l.newsTimer = stoppedTimer()
+	l.graceTimer = stoppedTimer()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	l.started = time.Now()
@@ -130,6 +135,9 @@
 			l.publishView()
 			l.updateRoles(time.Now())
 		case <-l.newsTimer.C:
+			l.newsPending = false
+			l.publishNews()
+		case <-l.graceTimer.C:
 			l.publishNews()
 		}
 	}
--- a/server/coordination/control/settings.go
+++ b/server/coordination/control/settings.go
@@ -57,6 +57,9 @@
 	DeltaWindowRecords int
 	// StartGrace is how long a node that knows no other node waits before it takes roles. 0 if it has no seeds.
 	StartGrace time.Duration
+	// SourceGrace is how long peers are given to read a new state from the source themselves before it is passed on to
+	// them; 0 passes it on at once. Where every node reads the source, peers need it only if they lost the source.
+	SourceGrace time.Duration
 	// Drain and DumpJSON serve the RPC methods of the same names.
 	Drain    func(wire.DrainArgs) (wire.DrainReply, error)
 	DumpJSON func() ([]byte, error)
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -108,9 +108,20 @@
 		return
 	}
 	peer := fanout.Peer{Node: e.Node, Address: e.Address}
+	if l.settings.SourceGrace > 0 {
+		time.AfterFunc(l.settings.SourceGrace, func() { l.pullIfBehind(peer, args.Offset) })
+		return
+	}
 	l.notify.post(func() { l.notify.ahead = &peer })
 }
 
+// pullIfBehind asks for a sync if this node has not reached an offset by itself.
+func (l *Loop) pullIfBehind(peer fanout.Peer, offset uint64) {
+	if l.state.Load().Offset() < offset {
+		l.notify.post(func() { l.notify.ahead = &peer })
+	}
+}
+
 // delta returns the entries that the poller lacks, up to a sequence number of the table.
 func (l *Loop) delta(args *wire.SyncArgs, upTo uint64) endpoint.Delta {
 	sequence := args.TableSequence
@@ -138,7 +149,7 @@
 // fillRecords adds the records after an offset, or a snapshot if the window does not reach back that far.
 func (l *Loop) fillRecords(offset uint64, reply *wire.SyncReply) {
 	state := l.state.Load()
-	if offset >= state.Offset() {
+	if offset >= state.Offset() || l.sourceGraceLeft(time.Now()) > 0 {
 		return
 	}
 	records, ok := l.window.after(offset)
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -122,6 +122,7 @@
 	h := j.h
 	request := j.request
 	request.ID = h.attempt.Add(1)
+	request.Far = target.FailureDomain != h.settings.Place.FailureDomain
 	request.TimeoutMS = j.limits.deadline.Sub(now).Milliseconds()
 	request.ObjectiveMS = j.limits.objective.Sub(now).Milliseconds()
 	if target.Node == h.settings.Node {
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -283,7 +283,7 @@
 
 // arrival describes a request to the gate.
 func arrival(r *wire.Request, deadline time.Time) admission.Arrival {
-	a := admission.Arrival{Deadline: deadline, Class: r.Priority}
+	a := admission.Arrival{Deadline: deadline, Class: r.Priority, Far: r.Far}
 	if r.ObjectiveMS > 0 {
 		a.Due = deadline.Add(time.Duration(r.ObjectiveMS-r.TimeoutMS) * time.Millisecond)
 	}
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -39,7 +39,9 @@
 // controlHooks connect the control loop with the rest of the node.
 type controlHooks struct {
 	// startGrace is how long a node that knows no other node waits before it takes roles.
-	startGrace   time.Duration
+	startGrace time.Duration
+	// sourceGrace is how long peers are given to read a new state from its source themselves.
+	sourceGrace  time.Duration
 	drain        func(wire.DrainArgs) (wire.DrainReply, error)
 	dump         func() ([]byte, error)
 	rolesChanged func(fanout.Roles)
@@ -90,6 +92,7 @@
 		KeyRetention:       s.Keys.KeyRetention,
 		DeltaWindowRecords: s.Log.DeltaWindowRecords,
 		StartGrace:         hooks.startGrace,
+		SourceGrace:        hooks.sourceGrace,
 		Drain:              hooks.drain,
 		DumpJSON:           hooks.dump,
 	}, endpoint.Entry{
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -61,6 +61,9 @@
 	// sourceRetryMin and sourceRetryMax bound the delay after a failed read: the store's return is noticed in time.
 	sourceRetryMin = 50 * time.Millisecond
 	sourceRetryMax = 500 * time.Millisecond
+	// sourceGrace is how long other nodes are given to read a new configuration themselves. It covers a store that is
+	// slow; a node that is cut off from the store has its configuration from peers after it.
+	sourceGrace = 800 * time.Millisecond
 	// sourcePause is the time between two reads of configurations in quick succession. Each is complete in itself, so
 	// only the newest has to be installed, and the pause is small against the time in which it has to be in force.
 	sourcePause = 300 * time.Millisecond
@@ -105,6 +108,7 @@
 
 func (h *Hosted) buildControl() error {
 	h.core.buildControl(controlHooks{
+		sourceGrace: sourceGrace,
 		drain: func(wire.DrainArgs) (wire.DrainReply, error) {
 			return wire.DrainReply{}, errors.New("targets of this platform drain by themselves")
 		},
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -130,6 +130,8 @@
 	RequestID string
 	// CallerService is the service of the target beside the node that the caller uses.
 	CallerService string
+	// Far is true if the sender is in another failure domain than the target.
+	Far bool
 	// Priority is the rank of the request at a full target, 0 first.
 	Priority int
 	// ObjectiveMS is the time that remains until an answer is late, in milliseconds; 0 or less if it is late already.
