--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: build, generate, format, lint, test, check, demo, bench.
 
-MODULES  := api server ctl standin
-PACKAGES := ./api/... ./server/... ./ctl/... ./standin/...
+MODULES  := api server ctl platform standin
+PACKAGES := ./api/... ./server/... ./ctl/... ./platform/... ./standin/...
 BIN      := $(CURDIR)/bin
 SOURCES   = $(shell git ls-files -co --exclude-standard '*.go' ':!*.pb.go')
 TOOL     := cd $(CURDIR)/tools && GOWORK=off go tool
--- /dev/null
+++ b/server/coordination/announce/registration_test.go
@@ -0,0 +1,103 @@
+package announce
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+var registrationStart = time.UnixMilli(1_800_000_000_000)
+
+func report(instance string, born int64, sequence uint64) Report {
+	return Report{Instance: instance, BornMS: born, Sequence: sequence, Service: "s", Address: "10.0.0.1:80", Slots: 18}
+}
+
+func draining(r Report) Report {
+	r.Draining = true
+	return r
+}
+
+// Guards against reports that were held up and bring a target back that has left or was replaced, and against a drain
+// that is forgotten while its process lives.
+func TestRegistrationOrder(t *testing.T) {
+	type step struct {
+		report  *Report
+		leave   string
+		lapse   bool
+		verdict Verdict
+		state   endpoint.State
+		now     string
+	}
+	take := func(r Report, v Verdict, s endpoint.State, instance string) step {
+		return step{report: &r, verdict: v, state: s, now: instance}
+	}
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"renewed", []step{
+			take(report("a", 1, 1), Replaced, endpoint.Alive, "a"),
+			take(report("a", 1, 2), Renewed, endpoint.Alive, "a"),
+		}},
+		{"late report of the same process", []step{
+			take(report("a", 1, 5), Replaced, endpoint.Alive, "a"),
+			take(draining(report("a", 1, 6)), Changed, endpoint.Draining, "a"),
+			take(report("a", 1, 4), Late, endpoint.Draining, "a"),
+		}},
+		{"a drain binds", []step{
+			take(draining(report("a", 1, 1)), Replaced, endpoint.Draining, "a"),
+			take(report("a", 1, 2), Renewed, endpoint.Draining, "a"),
+		}},
+		{"leave without drain, then a late report", []step{
+			take(report("a", 1, 1), Replaced, endpoint.Alive, "a"),
+			{leave: "a", verdict: Changed, state: endpoint.Draining, now: "a"},
+			take(report("a", 1, 2), Renewed, endpoint.Draining, "a"),
+		}},
+		{"a drain outlives a lapse", []step{
+			take(report("a", 1, 1), Replaced, endpoint.Alive, "a"),
+			{leave: "a", verdict: Changed, state: endpoint.Draining, now: "a"},
+			{lapse: true, verdict: Changed, state: endpoint.NoTarget, now: "a"},
+			take(report("a", 1, 2), Changed, endpoint.Draining, "a"),
+		}},
+		{"late report of the process before", []step{
+			take(report("a", 1, 9), Replaced, endpoint.Alive, "a"),
+			take(report("b", 2, 1), Replaced, endpoint.Alive, "b"),
+			take(report("a", 1, 10), Late, endpoint.Alive, "b"),
+			{leave: "a", verdict: Late, state: endpoint.Alive, now: "b"},
+		}},
+		{"the same name starts again", []step{
+			take(draining(report("a", 1, 9)), Replaced, endpoint.Draining, "a"),
+			take(report("a", 2, 1), Replaced, endpoint.Alive, "a"),
+		}},
+		{"silence", []step{
+			take(report("a", 1, 1), Replaced, endpoint.Alive, "a"),
+			{lapse: true, verdict: Changed, state: endpoint.NoTarget, now: "a"},
+			take(report("a", 1, 2), Changed, endpoint.Alive, "a"),
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var r Registration
+			now := registrationStart
+			for i, s := range c.steps {
+				now = now.Add(time.Second)
+				var verdict Verdict
+				switch {
+				case s.report != nil:
+					r, verdict = r.Take(*s.report, now)
+				case s.lapse:
+					now = now.Add(time.Minute)
+					r, verdict = r.Expire(now, 6*time.Second)
+				default:
+					r, verdict = r.Leave(s.leave, now)
+				}
+				assert.Equal(t, verdict, s.verdict, "step %d", i)
+				assert.Equal(t, r.State, s.state, "step %d", i)
+				assert.Equal(t, r.Report.Instance, s.now, "step %d", i)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/coordination/retry"
+	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/protocol/outcome"
+	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/view"
+	"wagtailford.example/server/transport/peer"
+)
+
+// behaviour is what a fake node does with a request.
+type behaviour int
+
+const (
+	serves behaviour = iota
+	full
+	sheds
+	fails
+	loses
+	runsAndLoses
+	unreachable
+	cuts
+	hangs
+)
+
+// mesh is a set of fake nodes.
+type mesh struct {
+	mu sync.Mutex
+	// next returns the behaviour of a node for its next request.
+	next func(node string) behaviour
+	// runs and arrivals count by request id.
+	runs, arrivals map[string]int
+	canceled       chan wire.CancelArgs
+}
+
+func newMesh(next func(string) behaviour) *mesh {
+	return &mesh{next: next, runs: make(map[string]int), arrivals: make(map[string]int), canceled: make(chan wire.CancelArgs, 100)}
+}
+
+func (m *mesh) call(ctx context.Context, address, method string, args, reply any) error {
+	if method == methodCancel {
+		m.canceled <- *args.(*wire.CancelArgs)
+		return nil
+	}
+	r := args.(*wire.Request)
+	m.mu.Lock()
+	does := m.next(address)
+	switch does {
+	case serves, fails, runsAndLoses, cuts:
+		m.runs[r.RequestID]++
+		m.arrivals[r.RequestID]++
+	case sheds:
+		m.arrivals[r.RequestID]++
+	}
+	m.mu.Unlock()
+	out := reply.(*wire.Response)
+	switch does {
+	case serves:
+		*out = wire.Response{Outcome: outcome.Answered, Status: 200, Arrived: true, Body: []byte(address)}
+	case fails:
+		*out = wire.Response{Outcome: outcome.Answered, Status: 500, Arrived: true}
+	case cuts:
+		*out = wire.Response{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerCut, Arrived: true}
+	case full:
+		*out = wire.Response{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonQueueFull, WaitMS: 200}
+	case sheds:
+		*out = wire.Response{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonTargetFull, Arrived: true}
+	case loses, runsAndLoses:
+		return &peer.LostError{Cause: errors.New("silent")}
+	case unreachable:
+		return &peer.NotSentError{Cause: errors.New("refused")}
+	case hangs:
+		<-ctx.Done()
+		return &peer.LostError{Cause: ctx.Err()}
+	}
+	return nil
+}
+
+const nodes = 5
+
+func testView() *view.View {
+	v := &view.View{Version: 3, Ready: true, ByService: make(map[string][]*endpoint.Entry), Nodes: make(map[string]*endpoint.Entry)}
+	for i := range nodes {
+		e := &endpoint.Entry{
+			Node: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("n%d", i), Service: "s", Slots: 18, FailureDomain: "d",
+			Key: endpoint.Key{State: endpoint.Alive, Revision: 1},
+		}
+		v.Nodes[e.Node] = e
+		v.ByService["s"] = append(v.ByService["s"], e)
+	}
+	route := config.Route{
+		Host: "h", Timeout: time.Second, MaxAttempts: 3, LatencyObjective: 500 * time.Millisecond,
+		Destinations: []config.Destination{{Service: "s", Weight: 1}},
+	}
+	read, write := route, route
+	read.Name, read.PathPrefix, read.Repetition = "read", "/r/", config.Idempotent
+	write.Name, write.PathPrefix, write.Repetition = "write", "/w/", config.NonIdempotent
+	v.Content = &config.Content{Services: []config.Service{{Name: "s"}}, Routes: []config.Route{read, write}}
+	return v
+}
+
+func newHandler(m *mesh, v *view.View, seed uint64) *Handler {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var mu sync.Mutex
+	return New(Settings{
+		Node: "entry", Place: routing.Place{FailureDomain: "d"}, TriesMax: 4, DefaultTimeout: time.Second,
+		Routing: routing.DefaultSettings(),
+		Repeats: retry.FleetLimit{Ratio: 0.2, Slack: 1e6, Window: 10 * time.Second},
+	}, Dependencies{
+		View:          func() *view.View { return v },
+		Call:          m.call,
+		CallerService: func() string { return "s" },
+		Random: func() uint64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.Uint64()
+		},
+	})
+}
+
+// script returns the behaviours one after the other, and serves after the last.
+func script(list ...behaviour) func(string) behaviour {
+	return func(string) behaviour {
+		if len(list) == 0 {
+			return serves
+		}
+		does := list[0]
+		list = list[1:]
+		return does
+	}
+}
+
+// Guards against a second run of a request that must not be repeated, against giving up on one that may be, and against
+// a refusal that is not true.
+func TestAttempts(t *testing.T) {
+	cases := []struct {
+		name     string
+		path     string
+		script   []behaviour
+		want     outcome.Outcome
+		status   int
+		arrivals int
+	}{
+		{"served", "/w/1", []behaviour{serves}, outcome.Answered, 200, 1},
+		{"full nodes are no arrivals", "/w/1", []behaviour{full, unreachable, full, serves}, outcome.Answered, 200, 1},
+		{"all full", "/w/1", []behaviour{full, full, full, full, full}, outcome.RefusedNotRun, 0, 0},
+		{"shed", "/w/1", []behaviour{sheds, sheds, serves}, outcome.Answered, 200, 3},
+		{"shed beyond the attempts of the route", "/w/1", []behaviour{sheds, sheds, sheds, serves}, outcome.RefusedNotRun, 0, 3},
+		{"lost, not repeatable", "/w/1", []behaviour{loses, serves}, outcome.Unknown, 0, 0},
+		{"ran and lost, not repeatable", "/w/1", []behaviour{runsAndLoses, serves}, outcome.Unknown, 0, 1},
+		{"cut, not repeatable", "/w/1", []behaviour{cuts, serves}, outcome.Unknown, 0, 1},
+		{"failed, not repeatable", "/w/1", []behaviour{fails, serves}, outcome.Answered, 500, 1},
+		{"lost, repeatable", "/r/1", []behaviour{loses, serves}, outcome.Answered, 200, 1},
+		{"lost, then full", "/r/1", []behaviour{runsAndLoses, full, full, full}, outcome.Unknown, 0, 1},
+		{"failed, repeatable", "/r/1", []behaviour{fails, serves}, outcome.Answered, 200, 2},
+		{"failed, then full", "/r/1", []behaviour{fails, full, full, full}, outcome.Answered, 500, 1},
+		{"failed everywhere", "/r/1", []behaviour{fails, fails, fails, serves}, outcome.Answered, 500, 3},
+		{"no route", "/x/1", nil, outcome.RefusedNotRun, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMesh(script(c.script...))
+			result := newHandler(m, testView(), 1).Do(t.Context(), &Request{ID: "q", Method: "POST", Host: "h", Path: c.path})
+			assert.Equal(t, result.Outcome, c.want)
+			assert.Equal(t, result.Status, c.status)
+			assert.Equal(t, m.arrivals["q"], c.arrivals)
+			assert.Equal(t, result.RetryAfter > 0, result.Outcome == outcome.RefusedNotRun && result.Reason != outcome.ReasonNoRoute)
+		})
+	}
+}
+
+// Guards against requests that run twice or are refused although they ran, over random faults of the nodes.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 11))
+		m := newMesh(func(string) behaviour { return behaviour(random.IntN(int(hangs))) })
+		h := newHandler(m, testView(), seed)
+		for i := range 20 {
+			id, path := fmt.Sprintf("q%d", i), "/w/1"
+			if i%2 == 1 {
+				path = "/r/1"
+			}
+			result := h.Do(t.Context(), &Request{ID: id, Method: "GET", Host: "h", Path: path})
+			runs, arrivals := m.runs[id], m.arrivals[id]
+			assert.Assert(t, runs <= 1 || path == "/r/1", "seed %d: %s ran %d times", seed, id, runs)
+			assert.Assert(t, arrivals <= 3, "seed %d: %s arrived %d times", seed, id, arrivals)
+			assert.Assert(t, runs == 0 || result.Outcome != outcome.RefusedNotRun, "seed %d: %s ran and was refused", seed, id)
+		}
+	}
+}
+
+// Guards against work that goes on at a target after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	m := newMesh(script(hangs))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan *Result, 1)
+	go func() {
+		done <- newHandler(m, testView(), 1).Do(ctx, &Request{ID: "q", Method: "GET", Host: "h", Path: "/r/1"})
+	}()
+	cancel()
+	result := <-done
+	if m.arrivals["q"] == 0 && result.Outcome == outcome.RefusedNotRun {
+		return // The caller had left before the first attempt.
+	}
+	assert.Equal(t, result.Outcome, outcome.Unknown)
+	assert.Equal(t, (<-m.canceled).From, "entry")
+}
+
+// Guards against a node that answers 404 before it has a configuration.
+func TestNotReady(t *testing.T) {
+	empty := &view.View{Ready: true, Content: &config.Content{}}
+	unready := testView()
+	unready.Ready = false
+	for _, v := range []*view.View{nil, empty, unready} {
+		m := newMesh(script())
+		result := newHandler(m, v, 1).Do(t.Context(), &Request{ID: "q", Method: "GET", Host: "h", Path: "/r/1"})
+		assert.Equal(t, result.Outcome, outcome.RefusedNotRun)
+		assert.Equal(t, result.Reason, outcome.ReasonNotReady)
+		assert.Assert(t, result.RetryAfter > 0)
+	}
+}
+
+// Guards against requests that are held beyond the limit of their caller or of their route, and against a caller that
+// returns and is treated as if it had just come.
+func TestLimits(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	route := &config.Route{Timeout: 1200 * time.Millisecond, LatencyObjective: 500 * time.Millisecond, MaxAttempts: 2}
+	cases := []struct {
+		caller, elapsed, deadline, objective time.Duration
+	}{
+		{2500 * time.Millisecond, 0, 1200 * time.Millisecond, 500 * time.Millisecond},
+		{800 * time.Millisecond, 0, 800 * time.Millisecond, 500 * time.Millisecond},
+		{0, 0, 1200 * time.Millisecond, 500 * time.Millisecond},
+		{800 * time.Millisecond, 300 * time.Millisecond, 800 * time.Millisecond, 200 * time.Millisecond},
+		{800 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond, 500 * time.Millisecond},
+		{100 * time.Millisecond, 0, 100 * time.Millisecond, 100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		l := limitsOf(route, &Request{Timeout: c.caller}, now, time.Minute, c.elapsed)
+		assert.Equal(t, l.deadline.Sub(now), c.deadline, "%+v", c)
+		assert.Equal(t, l.objective.Sub(now), c.objective, "%+v", c)
+		assert.Equal(t, l.attempts, 2)
+	}
+	var p patience
+	assert.Equal(t, p.elapsed("r", 2*time.Second), time.Duration(0))
+	assert.Equal(t, p.elapsed("r", 1500*time.Millisecond), 500*time.Millisecond)
+	assert.Equal(t, p.elapsed("r", 0), time.Duration(0))
+}
--- /dev/null
+++ b/server/coordination/retry/fleet_test.go
@@ -0,0 +1,75 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var fleetLimit = FleetLimit{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+
+// Guards against nodes that together exceed the limit of the fleet in some window, whatever their shares of the
+// requests are and whenever the requests come.
+func TestFleetBudgetHoldsInEveryWindow(t *testing.T) {
+	const nodes, stepMS, endMS = 11, 50, 60_000
+	random := rand.New(rand.NewPCG(20261204, 1))
+	budgets := make([]*FleetBudget, nodes)
+	for i := range budgets {
+		budgets[i] = NewFleetBudget(fleetLimit, nodes)
+	}
+	var firsts, repeats [endMS / stepMS]int
+	for step := range firsts {
+		now := int64(1_800_000_000_000 + step*stepMS)
+		load := 30
+		if step/200%2 == 1 {
+			load = 2 // The load falls to a fifteenth for ten seconds, which leaves the repeats of the time before.
+		}
+		for range load {
+			b := budgets[random.IntN(1+random.IntN(nodes))]
+			b.First("s", now)
+			firsts[step]++
+			if b.Take("s", random.IntN(2) == 0, now) {
+				repeats[step]++
+			}
+		}
+	}
+	window := int(fleetLimit.Window.Milliseconds() / stepMS)
+	for from := 0; from+window <= len(firsts); from++ {
+		// The requests of a window, of the one before or of the one half a window before count, whichever has most.
+		counted := 0
+		for _, back := range []int{0, window / 2, window} {
+			if from-back >= 0 {
+				counted = max(counted, sum(firsts[from-back:from-back+window]))
+			}
+		}
+		allowed := fleetLimit.Ratio*float64(counted) + fleetLimit.Slack
+		spent := sum(repeats[from : from+window])
+		assert.Assert(t, float64(spent) <= allowed, "%d repeats for %d requests in the window at %d ms", spent, counted, from*stepMS)
+	}
+	assert.Assert(t, sum(repeats[:]) > sum(firsts[:])/20, "%d repeats of %d requests: the limit is not used", sum(repeats[:]), sum(firsts[:]))
+}
+
+// Guards against repeats after an answer that take the place of those after a refusal, and against a repeat that counts
+// although it reached no target.
+func TestFleetBudgetParts(t *testing.T) {
+	b := NewFleetBudget(fleetLimit, 1)
+	const now = 1_800_000_000_000
+	for range 1000 {
+		b.First("s", now)
+	}
+	ran := 0
+	for b.Take("s", true, now) {
+		ran++
+	}
+	refused := 0
+	for b.Take("s", false, now) {
+		refused++
+	}
+	assert.Assert(t, ran > 0 && refused > 2*ran, "%d after answers, %d after refusals", ran, refused)
+	b.Return("s", now)
+	assert.Assert(t, b.Take("s", false, now))
+	assert.Assert(t, !b.Take("s", false, now))
+	assert.Assert(t, b.Take("other", false, now), "the limit is that of each service")
+}
--- /dev/null
+++ b/server/coordination/routing/score_test.go
@@ -0,0 +1,126 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/state/config"
+	"wagtailford.example/server/state/endpoint"
+)
+
+const scoreNow = 1_800_000_000_000
+
+func scoreChoice(stats map[string]Stat) *Choice {
+	entry := func(node, domain string) *endpoint.Entry {
+		return &endpoint.Entry{Node: node, FailureDomain: domain, Region: "r", Slots: 18, Key: endpoint.Key{State: endpoint.Alive}}
+	}
+	return &Choice{
+		Candidates: []*endpoint.Entry{entry("self", "d1"), entry("near", "d1"), entry("far", "d2")},
+		Stat:       func(node string) Stat { return stats[node] },
+		Place:      Place{FailureDomain: "d1", Region: "r"},
+		NowMS:      scoreNow,
+		Settings:   DefaultSettings(),
+		Random:     func() uint64 { return 1 << 63 },
+	}
+}
+
+func loaded(outstanding int, service time.Duration) Stat {
+	s := Stat{Outstanding: outstanding, ReportedMS: scoreNow}
+	s.Service[0] = service
+	return s
+}
+
+// Guards against requests that cross failure domains while there is room nearby, that stay in a queue which takes
+// longer than the way to a free target, and that go to a target which fails them.
+func TestCheapest(t *testing.T) {
+	weights := Weights{DomainByteCost: 40 * time.Millisecond, RegionCost: time.Second}
+	const service = 100 * time.Millisecond
+	faulty := loaded(0, service)
+	faulty.Faults, faulty.FaultsMS = 0.5, scoreNow
+	recovered := faulty
+	recovered.FaultsMS = scoreNow - 60_000
+	ejected := loaded(0, service)
+	ejected.EjectedUntilMS = scoreNow + 1000
+	cases := []struct {
+		name    string
+		stats   map[string]Stat
+		bytes   int
+		exclude map[string]bool
+		want    string
+	}{
+		{"all free", map[string]Stat{"self": loaded(0, service), "near": loaded(0, service), "far": loaded(0, service)}, 0, nil, "self"},
+		{"own target full", map[string]Stat{"self": loaded(30, service), "near": loaded(0, service), "far": loaded(0, service)}, 0, nil, "near"},
+		{"domain full, small message", map[string]Stat{"self": loaded(40, service), "near": loaded(40, service), "far": loaded(0, service)}, 0, nil, "far"},
+		{"domain full, large message", map[string]Stat{"self": loaded(40, service), "near": loaded(41, service), "far": loaded(0, service)}, 8 << 10, nil, "self"},
+		{"own target slow", map[string]Stat{"self": loaded(0, 5*service), "near": loaded(0, service), "far": loaded(0, service)}, 0, nil, "near"},
+		{"own target fails half", map[string]Stat{"self": faulty, "near": loaded(0, service), "far": loaded(0, service)}, 0, nil, "near"},
+		{"faults long ago", map[string]Stat{"self": recovered, "near": loaded(0, service), "far": loaded(0, service)}, 0, nil, "self"},
+		{"all fail alike", map[string]Stat{"self": faulty, "near": faulty, "far": faulty}, 0, nil, "self"},
+		{"ejected", map[string]Stat{"self": ejected, "near": loaded(60, service), "far": loaded(60, service)}, 0, nil, "near"},
+		{"tried before", map[string]Stat{"self": loaded(0, service), "near": loaded(0, service), "far": loaded(0, service)}, 0, map[string]bool{"self": true, "near": true}, "far"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			choice := scoreChoice(c.stats)
+			choice.Exclude = c.exclude
+			got := Cheapest(choice, Demand{Bytes: c.bytes}, weights, "self")
+			assert.Equal(t, got.Node, c.want)
+		})
+	}
+	none := scoreChoice(nil)
+	none.Exclude = map[string]bool{"self": true, "near": true, "far": true}
+	assert.Assert(t, Cheapest(none, Demand{}, weights, "self") == nil)
+}
+
+// Guards against parts of a route that get another share of few requests than their weights say.
+func TestSplitterKeepsWeights(t *testing.T) {
+	route := &config.Route{Name: "r", Destinations: []config.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	seed := uint64(0)
+	total := 0
+	const nodes, requests = 11, 18
+	for range nodes {
+		splitter := NewSplitter(func() uint64 {
+			seed += 0x9e3779b97f4a7c15
+			return seed
+		})
+		for range requests {
+			if splitter.Next(route).Service == "b" {
+				total++
+			}
+		}
+	}
+	share := float64(total) / (nodes * requests)
+	assert.Assert(t, share > 0.07 && share < 0.13, "share %v", share)
+	assert.Equal(t, NewSplitter(func() uint64 { return 0 }).Next(&config.Route{Destinations: route.Destinations[:1]}).Service, "a")
+}
+
+// Guards against routes that match the path of another host, a prefix that ends within a segment, or the shorter prefix.
+func TestMatchHost(t *testing.T) {
+	content := &config.Content{Routes: []config.Route{
+		{Name: "short", Host: "h1", PathPrefix: "/a/"},
+		{Name: "long", Host: "h1", PathPrefix: "/a/b/"},
+		{Name: "root", Host: "h2", PathPrefix: "/"},
+	}}
+	cases := []struct{ host, path, want string }{
+		{"h1", "/a/x", "short"},
+		{"h1", "/a/", "short"},
+		{"h1", "/a/b/c/d", "long"},
+		{"h1", "/a/bc", "short"},
+		{"h1", "/a", ""},
+		{"h1", "/ab/", ""},
+		{"h2", "/anything", "root"},
+		{"h3", "/a/", ""},
+		{"h1", "/%61/x", ""},
+	}
+	for _, c := range cases {
+		route, ok := MatchHost(content, c.host, c.path)
+		assert.Equal(t, ok, c.want != "", "%s%s", c.host, c.path)
+		if ok {
+			assert.Equal(t, route.Name, c.want, "%s%s", c.host, c.path)
+		}
+	}
+	_, ok := MatchHost(nil, "h1", "/a/")
+	assert.Assert(t, !ok)
+}
--- a/server/daemon/command/command.go
+++ b/server/daemon/command/command.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/spf13/cobra"
 
@@ -49,7 +48,9 @@
 			if err != nil {
 				return err
 			}
-			logging.Setup(json.New(os.Stdout), parsed)
+			lines := logging.NewBounded(os.Stdout)
+			defer lines.Flush()
+			logging.Setup(lines, parsed)
 			hlog.SetLevel(hlog.LevelFatal)
 			node, err := newNode(s, open)
 			if err != nil {
--- a/server/daemon/settings/key.go
+++ b/server/daemon/settings/key.go
@@ -39,12 +39,6 @@
 	return keys
 }
 
-// require marks a key as required.
-func (k key) require() key {
-	k.required = true
-	return k
-}
-
 // profiled gives a key another default in the profile bytes-first.
 func (k key) profiled(fallback string) key {
 	k.profileFallback = fallback
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,200 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mode is how a store that is disturbed answers.
+type Mode int
+
+// Modes of a store.
+const (
+	Up Mode = iota
+	// Busy answers 503, Many 429; nothing is done.
+	Busy
+	Many
+	// Reset closes connections, Silent never answers.
+	Reset
+	Silent
+)
+
+// Faults disturb a store.
+type Faults struct {
+	Mode Mode
+	// Hosts limits the mode to callers from these IP addresses; empty for all.
+	Hosts map[string]bool
+	// Delay is added to every answer.
+	Delay time.Duration
+	// LoseAnswers is the share of appends that are done and not answered.
+	LoseAnswers float64
+}
+
+// Limits of a store, as the platform states them.
+const (
+	pageItems    = 500
+	bodyMax      = 2 << 20
+	readWaitMax  = 30 * time.Second
+	silentAnswer = time.Hour
+)
+
+// Store is an HTTP server with the interface of the platform's store.
+type Store struct {
+	Topics *topics
+	// Calls counts calls, also those that were refused.
+	Calls atomic.Int64
+
+	mu     sync.Mutex
+	faults Faults
+	random *rand.Rand
+	server *http.Server
+	addr   string
+}
+
+// StartStore serves a store on an address until Close.
+func StartStore(address string, seed uint64) (*Store, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{Topics: newTopics(), random: rand.New(rand.NewPCG(seed, 1)), addr: l.Addr().String()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log-append", s.handleAppend)
+	mux.HandleFunc("GET /log-read", s.handleRead)
+	mux.HandleFunc("GET /log-newest", s.handleNewest)
+	s.server = &http.Server{Handler: s.disturb(mux)}
+	go s.server.Serve(l)
+	return s, nil
+}
+
+// Address returns host:port.
+func (s *Store) Address() string { return s.addr }
+
+// Close ends the store and its connections.
+func (s *Store) Close() { s.server.Close() }
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// PublishConfig appends a configuration as the operator does, and returns its offset.
+func (s *Store) PublishConfig(data []byte) uint64 {
+	offset, _, _ := s.Topics.append("keyed.op/0", [][]byte{KeyedRecord("config", data)}, appendIf{})
+	return offset
+}
+
+// DropHistory removes the records of a topic; the newest of each key stay.
+func (s *Store) DropHistory(topic string) { s.Topics.drop(topic + "/0") }
+
+func (s *Store) current(host string) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	if len(f.Hosts) > 0 && !f.Hosts[host] {
+		f.Mode = Up
+	}
+	return f
+}
+
+func (s *Store) loses(share float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < share
+}
+
+func (s *Store) disturb(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.Calls.Add(1)
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		f := s.current(host)
+		time.Sleep(f.Delay)
+		switch f.Mode {
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Many:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case Reset:
+			hangUp(w)
+		case Silent:
+			select {
+			case <-r.Context().Done():
+			case <-time.After(silentAnswer):
+			}
+			hangUp(w)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+// hangUp resets the connection of a request.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+func partitionName(r *http.Request) string {
+	return r.URL.Query().Get("topic") + "/" + r.URL.Query().Get("part")
+}
+
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
+	records, ok := splitRecords(body)
+	if err != nil || !ok {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	query := r.URL.Query()
+	condition := appendIf{producer: query.Get("producer")}
+	condition.epoch, _ = strconv.ParseUint(query.Get("epoch"), 10, 64)
+	if end, err := strconv.ParseUint(query.Get("as-of"), 10, 64); err == nil {
+		condition.end = &end
+	}
+	offset, end, err := s.Topics.append(partitionName(r), records, condition)
+	if s.loses(s.current("").LoseAnswers) {
+		hangUp(w)
+		return
+	}
+	switch {
+	case errors.Is(err, errMoved):
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case errors.Is(err, errFenced):
+		w.WriteHeader(http.StatusConflict)
+	}
+	json.NewEncoder(w).Encode(map[string]uint64{"offset": offset, "end": end})
+}
+
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
+	waitMS, _ := strconv.Atoi(query.Get("wait-ms"))
+	wait := min(time.Duration(waitMS)*time.Millisecond, readWaitMax)
+	body, gone := s.Topics.read(partitionName(r), from, wait, r.Context().Done())
+	if gone {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	w.Write(body)
+}
+
+func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
+	items, more, end := s.Topics.latest(partitionName(r), r.URL.Query().Get("after"), pageItems)
+	json.NewEncoder(w).Encode(map[string]any{"items": items, "more": more, "end": end})
+}
--- /dev/null
+++ b/standin/platform/topics.go
@@ -0,0 +1,197 @@
+// Package platform stands in for the platform that a fleet runs on: its store, its targets and its callers, with faults
+// that a test or the soak switches on. It is written from the platform's published protocol.
+package platform
+
+import (
+	"encoding/binary"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// keyedPrefix begins the names of topics whose records have keys.
+const keyedPrefix = "keyed."
+
+// Refusals of an append.
+var (
+	errMoved  = errors.New("the partition does not end at the stated offset")
+	errFenced = errors.New("a producer of a later epoch has written")
+)
+
+// partition is one partition of a topic.
+type partition struct {
+	// first is the offset of records[0].
+	first   uint64
+	records [][]byte
+	// newest holds the offset and value of each key of a keyed topic; kept when history is dropped.
+	newest map[string]keyedRecord
+	epochs map[string]uint64
+	// changed is closed and replaced by every append.
+	changed chan struct{}
+}
+
+type keyedRecord struct {
+	offset uint64
+	value  []byte
+}
+
+func (p *partition) end() uint64 { return p.first + uint64(len(p.records)) }
+
+// topics are the contents of a store. They are safe for concurrent use.
+type topics struct {
+	mu    sync.Mutex
+	parts map[string]*partition
+}
+
+func newTopics() *topics { return &topics{parts: make(map[string]*partition)} }
+
+func (t *topics) part(name string) *partition {
+	p := t.parts[name]
+	if p == nil {
+		p = &partition{newest: make(map[string]keyedRecord), epochs: make(map[string]uint64), changed: make(chan struct{})}
+		t.parts[name] = p
+	}
+	return p
+}
+
+// appendIf are the conditions of an append.
+type appendIf struct {
+	// end is the offset at which the partition has to end; nil for any.
+	end *uint64
+	// producer with its epoch fences earlier epochs; empty for none.
+	producer string
+	epoch    uint64
+}
+
+// append adds records all or nothing and returns the offset of the first and the end.
+func (t *topics) append(name string, records [][]byte, condition appendIf) (offset, end uint64, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.part(name)
+	if condition.end != nil && *condition.end != p.end() {
+		return 0, p.end(), errMoved
+	}
+	if condition.producer != "" {
+		if condition.epoch < p.epochs[condition.producer] {
+			return 0, p.end(), errFenced
+		}
+		p.epochs[condition.producer] = condition.epoch
+	}
+	offset = p.end()
+	for _, r := range records {
+		if strings.HasPrefix(name, keyedPrefix) {
+			p.note(r)
+		}
+		p.records = append(p.records, r)
+	}
+	if len(records) > 0 {
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+	return offset, p.end(), nil
+}
+
+// note takes the key and value of a record that is about to be added.
+func (p *partition) note(r []byte) {
+	if len(r) == 0 || 1+int(r[0]) > len(r) {
+		return
+	}
+	key, value := string(r[1:1+int(r[0])]), r[1+int(r[0]):]
+	if len(value) == 0 {
+		delete(p.newest, key)
+		return
+	}
+	p.newest[key] = keyedRecord{offset: p.end(), value: value}
+}
+
+// drop removes the history of a topic; the newest record of each key stays.
+func (t *topics) drop(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.part(name)
+	p.first = p.end()
+	p.records = nil
+}
+
+// read returns the encoded records from an offset on. If there are none it waits at most for wait. gone is true if the
+// records were dropped.
+func (t *topics) read(name string, from uint64, wait time.Duration, cancel <-chan struct{}) (body []byte, gone bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		t.mu.Lock()
+		p := t.part(name)
+		body, gone = p.encode(from)
+		ready := gone || p.end() > from
+		changed := p.changed
+		t.mu.Unlock()
+		if ready {
+			return body, gone
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return body, gone
+		case <-cancel:
+			return body, gone
+		}
+	}
+}
+
+func (p *partition) encode(from uint64) (body []byte, gone bool) {
+	if from < p.first {
+		return nil, true
+	}
+	body = binary.BigEndian.AppendUint64(nil, p.end())
+	body = binary.BigEndian.AppendUint64(body, p.first)
+	for _, r := range p.records[min(from-p.first, uint64(len(p.records))):] {
+		body = binary.BigEndian.AppendUint32(body, uint32(len(r)))
+		body = append(body, r...)
+	}
+	return body, false
+}
+
+// keyed is one item of the newest records.
+type keyed struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset uint64 `json:"offset"`
+}
+
+// latest returns a page of the newest records after a key.
+func (t *topics) latest(name, after string, limit int) (items []keyed, more bool, end uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.part(name)
+	for key, r := range p.newest {
+		if key > after || after == "" {
+			items = append(items, keyed{Key: key, Value: r.value, Offset: r.offset})
+		}
+	}
+	slices.SortFunc(items, func(a, b keyed) int { return strings.Compare(a.Key, b.Key) })
+	if len(items) > limit {
+		return items[:limit], true, p.end()
+	}
+	return items, false, p.end()
+}
+
+// splitRecords decodes the body of an append.
+func splitRecords(body []byte) ([][]byte, bool) {
+	var records [][]byte
+	for len(body) > 0 {
+		if len(body) < 4 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
+			return nil, false
+		}
+		size := int(binary.BigEndian.Uint32(body))
+		records = append(records, slices.Clone(body[4:4+size]))
+		body = body[4+size:]
+	}
+	return records, true
+}
+
+// KeyedRecord returns the content of a record of a keyed topic.
+func KeyedRecord(key string, value []byte) []byte {
+	return append(append([]byte{byte(len(key))}, key...), value...)
+}
