Ask a target whether it leaves before a fresh process uses it

A node acknowledged that its target leaves and was then restarted; a report that the target had sent before it left came late, and the new process took the target for a new one.

Ruled out: a late report within one process (ordered by sequence, TestRegistrationOrder), a drain that is not enforced at once (the executing node refuses from the acknowledgement on).

Change: a process uses a target that it has not known before only after the target's own health check names the same instance and does not leave, or after two more reports. TestUnverified fails without it.

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -29,6 +29,13 @@
 	SetTarget(execute.Target)
 }
 
+// Asker asks a target whether it serves. serving is true only if the target of the report itself said so and does not
+// leave.
+type Asker func(ctx context.Context, report Report) (serving bool)
+
+// askTimeout limits one question to the target. It waits for a slot like a request.
+const askTimeout = time.Second
+
 // ErrIncomplete means that a report lacks a field without which the target cannot be used.
 var ErrIncomplete = errors.New("incomplete report")
 
@@ -37,6 +44,7 @@
 	settings   RegistrarSettings
 	runner     TargetRunner
 	updateSelf func(func(*endpoint.Entry))
+	ask        Asker
 	logger     log.Interface
 
 	mu      sync.Mutex
@@ -46,8 +54,8 @@
 }
 
 // NewRegistrar returns a registrar that knows no target.
-func NewRegistrar(s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), logger log.Interface) *Registrar {
-	return &Registrar{settings: s, runner: runner, updateSelf: updateSelf, logger: logger}
+func NewRegistrar(s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), ask Asker, logger log.Interface) *Registrar {
+	return &Registrar{settings: s, runner: runner, updateSelf: updateSelf, ask: ask, logger: logger}
 }
 
 // Run lets a silent target lapse until ctx ends.
@@ -74,9 +82,22 @@
 	}
 	now := time.Now()
 	r.change("report", func(current Registration) (Registration, Verdict) { return current.Take(report, now) })
+	if r.Current().Unverified {
+		go r.verify(report)
+	}
 	return nil
 }
 
+// verify asks a target that this process has not known before.
+func (r *Registrar) verify(report Report) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	serving := r.ask(ctx, report)
+	r.change("verified", func(current Registration) (Registration, Verdict) {
+		return current.Verify(report.Instance, serving)
+	})
+}
+
 // Leave takes the end of a target. When it returns, no new request is sent to it.
 func (r *Registrar) Leave(instance string) {
 	now := time.Now()
@@ -126,6 +147,7 @@
 	r.logger.WithFields(log.Fields{
 		"event": "target_" + event, "instance": next.Report.Instance, "born_ms": next.Report.BornMS,
 		"sequence": next.Report.Sequence, "service": next.Report.Service, "state": next.State.String(),
+		"unverified": next.Unverified,
 	}).Info("target changed")
 }
 
@@ -140,17 +162,16 @@
 		Started:  time.UnixMilli(c.Report.BornMS),
 		Start:    c.Report.Instance + "/" + strconv.FormatInt(c.Report.BornMS, 10),
 	}
-	state := c.State
+	state := c.Usable()
 	switch {
 	case r.stopping:
 		target.Refuse = outcome.ReasonShutdown
-		state = min(state, endpoint.Draining)
 		if state == endpoint.Alive {
 			state = endpoint.Draining
 		}
-	case c.State == endpoint.Draining:
+	case state == endpoint.Draining:
 		target.Refuse = outcome.ReasonDraining
-	case c.State == endpoint.NoTarget:
+	case state == endpoint.NoTarget:
 		target.Refuse = outcome.ReasonNoTarget
 	}
 	r.runner.SetTarget(target)
--- a/server/coordination/announce/registration.go
+++ b/server/coordination/announce/registration.go
@@ -48,6 +48,11 @@
 	Leaving bool
 	// Heard is the time of the last report.
 	Heard time.Time
+	// Unverified is true until it is certain that the target does not leave: a process that has just started may have
+	// forgotten that it acknowledged this, and a report from before that may arrive late.
+	Unverified bool
+	// renewals counts the reports of an unverified target after the first.
+	renewals int
 	// WarmAt is the time from which the target is at full speed.
 	WarmAt time.Time
 }
@@ -55,17 +60,40 @@
 // Take returns the registration after a report. Reports are ordered by the start of the process and then by their
 // sequence, since one that was held up may arrive after a report of the next process.
 func (r Registration) Take(report Report, now time.Time) (Registration, Verdict) {
-	if r.State != endpoint.NoTarget || r.Report.Instance != "" {
-		if report.BornMS < r.Report.BornMS {
-			return r, Late
-		}
-		if report.BornMS == r.Report.BornMS {
-			return r.renew(report, now)
-		}
+	if r.Report.Instance == "" {
+		next := registered(report, now)
+		next.Unverified = true
+		return next, Replaced
+	}
+	if report.BornMS < r.Report.BornMS {
+		return r, Late
+	}
+	if report.BornMS == r.Report.BornMS {
+		return r.renew(report, now)
 	}
 	return registered(report, now), Replaced
 }
 
+// renewalsMin is the number of reports after the first that show that a target has not left: one that left sends none.
+const renewalsMin = 2
+
+// Verify returns the registration after the target itself was asked.
+func (r Registration) Verify(instance string, serving bool) (Registration, Verdict) {
+	if r.Report.Instance != instance || !r.Unverified || !serving {
+		return r, Renewed
+	}
+	r.Unverified = false
+	return r, Changed
+}
+
+// Usable returns the state that others may act on.
+func (r Registration) Usable() endpoint.State {
+	if r.Unverified && r.State == endpoint.Alive {
+		return endpoint.NoTarget
+	}
+	return r.State
+}
+
 // renew takes a report of the process that is known.
 func (r Registration) renew(report Report, now time.Time) (Registration, Verdict) {
 	if report.Instance != r.Report.Instance || report.Sequence <= r.Report.Sequence {
@@ -73,9 +101,11 @@
 	}
 	report.Draining = report.Draining || r.Leaving
 	next := registered(report, now)
+	next.renewals = r.renewals + 1
+	next.Unverified = r.Unverified && next.renewals < renewalsMin
 	unchanged := report
 	unchanged.Sequence, unchanged.ColdLeft = r.Report.Sequence, r.Report.ColdLeft
-	if unchanged == r.Report && next.State == r.State {
+	if unchanged == r.Report && next.Usable() == r.Usable() {
 		next.WarmAt = r.WarmAt
 		return next, Renewed
 	}
--- a/server/coordination/announce/registration_test.go
+++ b/server/coordination/announce/registration_test.go
@@ -97,7 +97,40 @@
 				assert.Equal(t, verdict, s.verdict, "step %d", i)
 				assert.Equal(t, r.State, s.state, "step %d", i)
 				assert.Equal(t, r.Report.Instance, s.now, "step %d", i)
+				r.Unverified = false // TestUnverified covers the start of a process.
 			}
 		})
 	}
 }
+
+// Guards against a node that has just started, takes a report from before its target left for a new one, and sends work
+// to a target whose leaving the process before it has acknowledged.
+func TestUnverified(t *testing.T) {
+	start := func() Registration {
+		r, verdict := Registration{}.Take(report("a", 1, 21), registrationStart)
+		assert.Equal(t, verdict, Replaced)
+		return r
+	}
+	r := start()
+	assert.Equal(t, r.Usable(), endpoint.NoTarget)
+	r, _ = r.Verify("a", false)
+	assert.Equal(t, r.Usable(), endpoint.NoTarget, "the target said that it leaves")
+	r, _ = r.Verify("b", true)
+	assert.Equal(t, r.Usable(), endpoint.NoTarget, "another target answered")
+	r, verdict := r.Verify("a", true)
+	assert.Equal(t, verdict, Changed)
+	assert.Equal(t, r.Usable(), endpoint.Alive)
+
+	r = start()
+	r, verdict = r.Take(report("a", 1, 22), registrationStart.Add(time.Second))
+	assert.Equal(t, verdict, Renewed)
+	r, verdict = r.Take(report("a", 1, 23), registrationStart.Add(2*time.Second))
+	assert.Equal(t, verdict, Changed, "a target that keeps reporting has not left")
+	assert.Equal(t, r.Usable(), endpoint.Alive)
+
+	r, verdict = start().Take(report("b", 2, 1), registrationStart.Add(time.Second))
+	assert.Equal(t, verdict, Replaced)
+	assert.Equal(t, r.Usable(), endpoint.Alive, "a newer process cannot have left before")
+	r, _ = start().Take(draining(report("a", 1, 22)), registrationStart.Add(time.Second))
+	assert.Equal(t, r.Usable(), endpoint.Draining)
+}
--- a/server/coordination/execute/dialect.go
+++ b/server/coordination/execute/dialect.go
@@ -1,6 +1,8 @@
 package execute
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -31,6 +33,8 @@
 	Write(req *protocol.Request, r *wire.Request, t Target, remaining time.Duration)
 	// Read says what a whole response means.
 	Read(r *wire.Request, resp *protocol.Response) Meaning
+	// ReadHealth returns the instance that answered a health check, and whether it serves and does not leave.
+	ReadHealth(resp *protocol.Response) (instance string, serving bool)
 }
 
 // plainDialect is the product's own: carried headers of section 3.4 of the design, and every answer counts.
@@ -40,4 +44,25 @@
 	fillRequest(req, r, t, remaining)
 }
 
+func (plainDialect) ReadHealth(resp *protocol.Response) (string, bool) {
+	return "", resp.StatusCode() == http.StatusOK
+}
+
 func (plainDialect) Read(*wire.Request, *protocol.Response) Meaning { return Answer }
+
+// AskHealth asks the target at an address for its health and reports whether the instance serves and does not leave.
+func (e *Executor) AskHealth(ctx context.Context, address, path, instance string, timeout time.Duration) bool {
+	req := protocol.AcquireRequest()
+	defer protocol.ReleaseRequest(req)
+	resp := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(resp)
+	req.Header.SetMethod(http.MethodGet)
+	req.Header.SetRequestURI(path)
+	req.Header.SetHost(address)
+	if err := e.client.DoAddress(ctx, address, req, resp, timeout); err != nil {
+		e.deps.Log.WithError(err).WithField("address", address).Info("health of the target not known")
+		return false
+	}
+	answered, serving := e.settings.Dialect.ReadHealth(resp)
+	return serving && answered == instance
+}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -162,10 +162,41 @@
 	}
 	h.registrar = announce.NewRegistrar(announce.RegistrarSettings{
 		Lease: s.Target.AnnounceLease, SlowStart: s.Routing.SlowStart, Service: s.Target.Service,
-	}, h.executor, h.control.UpdateSelf, log.Log)
+	}, h.executor, h.control.UpdateSelf, h.askTarget, log.Log)
 	return nil
 }
 
+// askInterval is the time between two looks for the configuration that names the health path of a target.
+const askInterval = 50 * time.Millisecond
+
+// askTarget asks the target of a report whether it serves, as soon as the configuration says how.
+func (h *Hosted) askTarget(ctx context.Context, report announce.Report) bool {
+	for {
+		if path, known := h.healthPath(report.Service); known {
+			return path == "" || h.executor.AskHealth(ctx, report.Address, path, report.Instance, dialTimeout)
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(askInterval):
+		}
+	}
+}
+
+// healthPath returns the path for health checks of a service. known is false while there is no configuration.
+func (h *Hosted) healthPath(service string) (path string, known bool) {
+	v := h.control.View()
+	if v.Version == 0 {
+		return "", false
+	}
+	for _, s := range v.Content.Services {
+		if s.Name == service {
+			return s.HealthPath, true
+		}
+	}
+	return "", true
+}
+
 func (h *Hosted) buildDispatch() error {
 	s := h.settings
 	rules := routing.DefaultSettings()
--- /dev/null
+++ b/standin/platform/target.go
@@ -0,0 +1,290 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// TargetSettings describe a target.
+type TargetSettings struct {
+	// Instance names one start of the target.
+	Instance string
+	Service  string
+	Zone     string
+	// Listen is the address of the target, Control that of the node beside it.
+	Listen, Control string
+	Slots           int
+	// Work is the mean time that a request takes.
+	Work time.Duration
+	// Beat is the time between two reports.
+	Beat time.Duration
+	Seed uint64
+}
+
+// TargetFaults disturb a target. All but Slow are shares of the requests.
+type TargetFaults struct {
+	// Slow multiplies the time that requests take; 0 means 1.
+	Slow float64
+	// Shed requests are refused as not run, Fail ones end with an error.
+	Shed, Fail float64
+	// Lose requests run, and their connection is reset in place of the answer; Cut ones get half of it.
+	Lose, Cut float64
+	// Extra answers are followed by a second one, Unframed ones end with the connection.
+	Extra, Unframed float64
+}
+
+// Run is a request as a target saw it.
+type Run struct {
+	RequestID, Instance, Method, Path, Body string
+	CallerService, ExpectInstance           string
+	// TimeLeft is what the request said is left of its time.
+	TimeLeft time.Duration
+	At       time.Time
+	// Ended is true if the request was run to its end, Dropped if its connection closed before.
+	Ended, Dropped bool
+}
+
+// Target is an application instance beside a node, with the habits of the platform's targets.
+type Target struct {
+	settings TargetSettings
+	born     int64
+	listener net.Listener
+	server   *http.Server
+	slots    chan struct{}
+	client   *http.Client
+	stop     context.CancelFunc
+	beats    sync.WaitGroup
+
+	mu       sync.Mutex
+	faults   TargetFaults
+	random   *rand.Rand
+	runs     []*Run
+	sequence int
+	state    string
+}
+
+// StartTarget serves requests and reports to the node until Close.
+func StartTarget(s TargetSettings) (*Target, error) {
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Target{
+		settings: s, born: time.Now().UnixMilli(), listener: l, stop: cancel, state: "ready",
+		slots: make(chan struct{}, s.Slots), client: &http.Client{Timeout: time.Second},
+		random: rand.New(rand.NewPCG(s.Seed, 5)),
+	}
+	t.server = &http.Server{Handler: t}
+	go t.server.Serve(l)
+	t.beats.Go(func() { t.beat(ctx) })
+	return t, nil
+}
+
+// Address returns host:port.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// SetFaults replaces the faults.
+func (t *Target) SetFaults(f TargetFaults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Runs returns what the target ran so far.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Run, len(t.runs))
+	for i, r := range t.runs {
+		list[i] = *r
+	}
+	return list
+}
+
+// Crash closes everything at once.
+func (t *Target) Crash() {
+	t.stop()
+	t.server.Close()
+	t.beats.Wait()
+}
+
+// Drain reports that the target leaves, and returns true once the node has acknowledged it.
+func (t *Target) Drain() bool {
+	t.mu.Lock()
+	t.state = "draining"
+	t.mu.Unlock()
+	return t.report()
+}
+
+// Leave tells the node that the target is gone.
+func (t *Target) Leave() bool {
+	req, err := http.NewRequest(http.MethodDelete, t.reportURL(), nil)
+	return err == nil && t.acknowledged(req)
+}
+
+func (t *Target) reportURL() string {
+	return "http://" + t.settings.Control + "/instances/" + t.settings.Instance
+}
+
+func (t *Target) beat(ctx context.Context) {
+	ticker := time.NewTicker(t.settings.Beat)
+	defer ticker.Stop()
+	for {
+		t.report()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Target) report() bool {
+	t.mu.Lock()
+	t.sequence++
+	body := map[string]any{
+		"address": t.Address(), "born": t.born,
+		"info":   map[string]any{"service": t.settings.Service, "version": "v1", "zone": t.settings.Zone, "slots": t.settings.Slots},
+		"status": map[string]any{"state": t.state, "sequence": t.sequence, "cold-left-s": 0},
+	}
+	t.mu.Unlock()
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // The map above can always be encoded.
+	}
+	req, err := http.NewRequest(http.MethodPut, t.reportURL(), bytes.NewReader(data))
+	return err == nil && t.acknowledged(req)
+}
+
+func (t *Target) acknowledged(req *http.Request) bool {
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
+
+// fate is what happens to one request.
+type fate struct {
+	shed, fail, lose, cut, extra, unframed bool
+	work                                   time.Duration
+}
+
+func (t *Target) draw() fate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.faults
+	hit := func(share float64) bool { return t.random.Float64() < share }
+	slow := max(f.Slow, 1)
+	return fate{
+		shed: hit(f.Shed), fail: hit(f.Fail), lose: hit(f.Lose), cut: hit(f.Cut), extra: hit(f.Extra), unframed: hit(f.Unframed),
+		work: time.Duration(t.random.ExpFloat64() * slow * float64(t.settings.Work)),
+	}
+}
+
+// ServeHTTP runs a request.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.settings.Instance {
+		w.Header().Set("Instance-Id", t.settings.Instance)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	f := t.draw()
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	default:
+		f.shed = true
+	}
+	if f.shed {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	run := t.begin(r, string(body))
+	select {
+	case <-time.After(f.work):
+	case <-r.Context().Done():
+		t.end(run, func(run *Run) { run.Dropped = true })
+		return
+	}
+	t.end(run, func(run *Run) { run.Ended = true })
+	t.answer(w, r, f)
+}
+
+func (t *Target) begin(r *http.Request, body string) *Run {
+	left, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	run := &Run{
+		RequestID: r.Header.Get("Request-Id"), Instance: t.settings.Instance, Method: r.Method, Path: r.RequestURI, Body: body,
+		CallerService: r.Header.Get("Caller-Service"), ExpectInstance: r.Header.Get("Expect-Instance"),
+		TimeLeft: time.Duration(left) * time.Millisecond, At: time.Now(),
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, run)
+	return run
+}
+
+func (t *Target) end(run *Run, note func(*Run)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	note(run)
+}
+
+// AnswerBody is the body of the answer to a request.
+func AnswerBody(requestID string) string { return "answer to " + requestID + "\n" }
+
+// Signature is the signature of the answer to a request.
+func Signature(requestID string) string { return "sig-" + requestID }
+
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, f fate) {
+	id := r.Header.Get("Request-Id")
+	status, body := "200 OK", AnswerBody(id)
+	if f.fail {
+		status, body = "500 Internal Server Error", "failed\n"
+	}
+	head := fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\n", status, id, Signature(id))
+	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	switch {
+	case f.lose:
+		hangUp(w)
+	case f.cut:
+		t.raw(w, framed[:len(framed)-len(body)/2])
+	case f.unframed:
+		t.raw(w, head+"Connection: close\r\n\r\n"+body)
+	case f.extra:
+		t.raw(w, framed+fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 5\r\n\r\nextra", id))
+	default:
+		w.Header().Set("Response-Signature", Signature(id))
+		if f.fail {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		io.WriteString(w, body)
+	}
+}
+
+// raw writes bytes past the HTTP library and ends the connection in an orderly way.
+func (t *Target) raw(w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	io.WriteString(conn, text)
+}
