Find nodes that are back while the store is away

Cause: TestStoreAway took 8 s until a node that was stopped and started again without the store served: only followers of the same failure domain asked for dead nodes, every 5 s, and never for one that had left.

Change: hosted nodes ask every node that is gone, each every 600 ms (control.Settings.ProbeGone).

--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -315,7 +315,8 @@
 		if e.Live() {
 			known[e.Address] = true
 		}
-		if e.Node != l.node && e.FailureDomain == l.domain && (e.State == endpoint.Dead || misplaced(e, nodes, roles)) {
+		if e.Node != l.node && (l.settings.ProbeGone && !e.Live() ||
+			e.FailureDomain == l.domain && (e.State == endpoint.Dead || misplaced(e, nodes, roles))) {
 			peers = append(peers, fanout.Peer{Node: e.Node, Address: e.Address})
 		}
 	}
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -48,11 +48,12 @@
 func (d *Daemon) buildControl() error {
 	s := d.settings
 	d.core.buildControl(controlHooks{
-		startGrace:   d.startGrace(),
-		drain:        d.drainForPeer,
-		dump:         d.dump,
-		rolesChanged: d.rolesChanged,
-		declaredDead: d.declaredDead,
+		startGrace:    d.startGrace(),
+		probeInterval: probeInterval,
+		drain:         d.drainForPeer,
+		dump:          d.dump,
+		rolesChanged:  d.rolesChanged,
+		declaredDead:  d.declaredDead,
 	})
 	followSettings := follow.DefaultSettings()
 	followSettings.PollWait = s.Log.PollWait
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -41,11 +41,14 @@
 	// startGrace is how long a node that knows no other node waits before it takes roles.
 	startGrace time.Duration
 	// sourceGrace is how long peers are given to read a new state from its source themselves.
-	sourceGrace  time.Duration
-	drain        func(wire.DrainArgs) (wire.DrainReply, error)
-	dump         func() ([]byte, error)
-	rolesChanged func(fanout.Roles)
-	declaredDead func()
+	sourceGrace time.Duration
+	// probeGone makes the node look for others that are gone, probeInterval is the mean time between two looks.
+	probeGone     bool
+	probeInterval time.Duration
+	drain         func(wire.DrainArgs) (wire.DrainReply, error)
+	dump          func() ([]byte, error)
+	rolesChanged  func(fanout.Roles)
+	declaredDead  func()
 }
 
 func (c *core) credential() peer.Credential {
@@ -93,6 +96,7 @@
 		DeltaWindowRecords: s.Log.DeltaWindowRecords,
 		StartGrace:         hooks.startGrace,
 		SourceGrace:        hooks.sourceGrace,
+		ProbeGone:          hooks.probeGone,
 		Drain:              hooks.drain,
 		DumpJSON:           hooks.dump,
 	}, endpoint.Entry{
@@ -107,7 +111,7 @@
 		Hold: node, RelayHold: relay, FollowerHold: follower,
 		ReconnectJitter: s.Fanout.ReconnectJitter,
 		CallSlack:       controlSlack,
-		ProbeInterval:   probeInterval,
+		ProbeInterval:   hooks.probeInterval,
 		RetryMax:        s.Log.RetryMax,
 		Seeds:           s.Node.Seeds,
 	})
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -64,6 +64,9 @@
 	// sourceGrace is how long other nodes are given to read a new configuration themselves. It covers a store that is
 	// slow; a node that is cut off from the store has its configuration from peers after it.
 	sourceGrace = 800 * time.Millisecond
+	// goneInterval is the mean time between two looks of a node for one that is gone. Many nodes look, so one that is
+	// back is found within some tenths of a second.
+	goneInterval = 600 * time.Millisecond
 	// sourcePause is the time between two reads of configurations in quick succession. Each is complete in itself, so
 	// only the newest has to be installed, and the pause is small against the time in which it has to be in force.
 	sourcePause = 300 * time.Millisecond
@@ -108,7 +111,9 @@
 
 func (h *Hosted) buildControl() error {
 	h.core.buildControl(controlHooks{
-		sourceGrace: sourceGrace,
+		sourceGrace:   sourceGrace,
+		probeGone:     true,
+		probeInterval: goneInterval,
 		drain: func(wire.DrainArgs) (wire.DrainReply, error) {
 			return wire.DrainReply{}, errors.New("targets of this platform drain by themselves")
 		},
--- a/server/daemon/process_test.go
+++ b/server/daemon/process_test.go
@@ -29,6 +29,7 @@
 	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 	cmd := exec.Command(program, "run", file)
 	output := &bytes.Buffer{}
+	cmd.Stdout = output
 	cmd.Stderr = output
 	assert.NilError(t, cmd.Start())
 	t.Cleanup(func() { _ = cmd.Process.Kill() })
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -126,8 +126,12 @@
 	return t.report()
 }
 
-// Leave tells the node that the target is gone.
+// Leave tells the node that the target is gone, with or without a drain before. It serves on, and reports no more.
 func (t *Target) Leave() bool {
+	t.mu.Lock()
+	t.state = "draining"
+	t.mu.Unlock()
+	t.stop()
 	req, err := http.NewRequest(http.MethodDelete, t.reportURL(), nil)
 	return err == nil && t.acknowledged(req)
 }
@@ -193,8 +197,25 @@
 	}
 }
 
+// HealthPath answers health checks.
+const HealthPath = "/healthz"
+
+func (t *Target) health(w http.ResponseWriter) {
+	t.mu.Lock()
+	leaving := t.state != "ready"
+	t.mu.Unlock()
+	w.Header().Set("Instance-Id", t.settings.Instance)
+	if leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // ServeHTTP runs a request.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		t.health(w)
+		return
+	}
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.settings.Instance {
 		w.Header().Set("Instance-Id", t.settings.Instance)
