Reload settings on SIGHUP and when their file changes

Change: SIGHUP and a changed file reload the limits on repeats, the times of the shutdown and the service of the target; other changes are named in a log line and need a new process; an invalid file changes nothing. TestReload fails without the handler (the test process ends).

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -48,6 +48,7 @@
 	logger     log.Interface
 
 	mu      sync.Mutex
+	service string
 	current Registration
 	// stopping is true when the node takes no new work for its target.
 	stopping bool
@@ -55,7 +56,7 @@
 
 // NewRegistrar returns a registrar that knows no target.
 func NewRegistrar(s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), ask Asker, logger log.Interface) *Registrar {
-	return &Registrar{settings: s, runner: runner, updateSelf: updateSelf, ask: ask, logger: logger}
+	return &Registrar{settings: s, service: s.Service, runner: runner, updateSelf: updateSelf, ask: ask, logger: logger}
 }
 
 // Run lets a silent target lapse until ctx ends.
@@ -119,7 +120,14 @@
 	if r.current.Report.Service != "" {
 		return r.current.Report.Service
 	}
-	return r.settings.Service
+	return r.service
+}
+
+// SetService replaces the service of the target before its first report.
+func (r *Registrar) SetService(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.service = service
 }
 
 // Current returns the registration.
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -126,6 +126,9 @@
 	return v
 }
 
+// SetRepeats replaces the limit on repeats.
+func (h *Handler) SetRepeats(limit retry.FleetLimit) { h.budget.SetLimit(limit) }
+
 func (h *Handler) enter() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/server/coordination/retry/fleet.go
+++ b/server/coordination/retry/fleet.go
@@ -55,6 +55,16 @@
 	b.nodes = max(nodes, 1)
 }
 
+// SetLimit replaces the limit. What was counted under another window is forgotten.
+func (b *FleetBudget) SetLimit(limit FleetLimit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limit.Window != b.limit.Window {
+		clear(b.services)
+	}
+	b.limit = limit
+}
+
 // First counts a request to a service.
 func (b *FleetBudget) First(service string, nowMS int64) {
 	b.mu.Lock()
--- a/server/daemon/command/command.go
+++ b/server/daemon/command/command.go
@@ -40,6 +40,7 @@
 		Short: "Run the node with a settings file until SIGTERM",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			signals := hangups()
 			parsed, err := log.ParseLevel(level)
 			if err != nil || parsed > log.ErrorLevel {
 				return fmt.Errorf("unknown log level %q: use debug, info, warn or error", level)
@@ -56,6 +57,8 @@
 			if err != nil {
 				return err
 			}
+			r := reloader{file: args[0], node: node}
+			go r.watch(cmd.Context(), signals)
 			return node.Run(cmd.Context())
 		},
 	}
@@ -66,6 +69,8 @@
 // node is a daemon that runs until its context ends.
 type node interface {
 	Run(ctx context.Context) error
+	// Reload takes over changed settings as far as a running node can.
+	Reload(next *settings.Settings)
 }
 
 // newNode assembles the node that the settings describe.
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -20,7 +20,6 @@
 	"wagtailford.example/server/coordination/execute"
 	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/follow"
-	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/coordination/seeds"
 	"wagtailford.example/server/daemon/settings"
@@ -85,6 +84,8 @@
 	listeners *listeners
 	observer  *observer
 
+	// live are the settings with what was reloaded since the start.
+	live    atomic.Pointer[settings.Settings]
 	closing atomic.Bool
 	// work are the goroutines that end with the node's context.
 	work sync.WaitGroup
@@ -95,6 +96,7 @@
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
 	debug.SetGCPercent(collectPercentMin)
 	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p}
+	h.live.Store(s)
 	h.observer = newObserver(log.Log, s.Node.Name)
 	h.listeners = &listeners{}
 	steps := []func() error{
@@ -216,9 +218,7 @@
 		DefaultTimeout: s.Routing.DefaultTimeout,
 		Routing:        rules,
 		Weights:        routing.Weights{DomainByteCost: s.Routing.DomainByteCost, RegionCost: s.Routing.RegionCost},
-		Repeats: retry.FleetLimit{
-			Ratio: s.Routing.RetryFraction, Slack: float64(s.Routing.RepeatSlack), Window: s.Routing.RepeatWindow,
-		},
+		Repeats:        repeats(s),
 	}, dispatch.Dependencies{
 		View:           h.control.View,
 		Call:           h.trafficPool.Call,
@@ -271,14 +271,14 @@
 
 // stop takes callers for a while longer, finishes the requests in flight, and then closes everything.
 func (h *Hosted) stop(stopBackground func()) error {
-	limit := h.settings.Node.ShutdownTimeout
+	limit := h.live.Load().Node.ShutdownTimeout
 	log.WithFields(log.Fields{"event": "stop", "timeout": limit.String(), "in_flight": h.dispatch.InFlight()}).Info("shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	h.closing.Store(true)
 	h.registrar.Stop()
 	select {
-	case <-time.After(min(h.settings.Platform.LeaveDelay, limit/2)):
+	case <-time.After(min(h.live.Load().Platform.LeaveDelay, limit/2)):
 	case <-ctx.Done():
 	}
 	err := errors.Join(h.dispatch.WaitIdle(ctx), h.executor.WaitIdle(ctx))
--- /dev/null
+++ b/server/daemon/reload.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"slices"
+
+	"github.com/apex/log"
+
+	"wagtailford.example/server/coordination/retry"
+	"wagtailford.example/server/daemon/settings"
+)
+
+// adjustable are the settings that a running hosted node takes over; all others need a new process.
+var adjustable = []string{
+	"Node.ShutdownTimeout", "Platform.LeaveDelay", "Target.Service",
+	"Routing.RetryFraction", "Routing.RepeatWindow", "Routing.RepeatSlack",
+}
+
+// Reload takes over what may change while the node runs, and says what may not.
+func (h *Hosted) Reload(next *settings.Settings) {
+	changed := settings.Changed(h.live.Load(), next)
+	ignored := slices.DeleteFunc(slices.Clone(changed), func(name string) bool { return slices.Contains(adjustable, name) })
+	live := *h.live.Load()
+	live.Node.ShutdownTimeout = next.Node.ShutdownTimeout
+	live.Platform.LeaveDelay = next.Platform.LeaveDelay
+	live.Target.Service = next.Target.Service
+	live.Routing.RetryFraction = next.Routing.RetryFraction
+	live.Routing.RepeatWindow = next.Routing.RepeatWindow
+	live.Routing.RepeatSlack = next.Routing.RepeatSlack
+	h.live.Store(&live)
+	h.registrar.SetService(live.Target.Service)
+	h.dispatch.SetRepeats(repeats(&live))
+	logReload(changed, ignored)
+}
+
+// repeats returns the limit on repeats of all nodes together.
+func repeats(s *settings.Settings) retry.FleetLimit {
+	return retry.FleetLimit{
+		Ratio: s.Routing.RetryFraction, Slack: float64(s.Routing.RepeatSlack), Window: s.Routing.RepeatWindow,
+	}
+}
+
+// Reload says that the settings of a node with a log service need a new process.
+func (d *Daemon) Reload(next *settings.Settings) {
+	changed := settings.Changed(d.settings, next)
+	logReload(changed, changed)
+}
+
+func logReload(changed, ignored []string) {
+	entry := log.WithFields(log.Fields{"event": "reload", "changed": changed, "needs_restart": ignored})
+	if len(ignored) > 0 {
+		entry.Warn("some changed settings need a new process; the old values stay")
+		return
+	}
+	entry.Info("settings reloaded")
+}
