End a stop in time although callers stay

Fewer than half of the zone's nodes were in, so the platform kept its callers on the stopping node; the stop waited for a moment without requests that never came, and the process was killed with 15 to 34 of them in flight.

Change: a stop serves on until the longest timeout of a route and 500 ms are left of its limit, refuses new requests as not run from then on, and ends when those in flight have ended.

--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -19,6 +19,9 @@
 // one within some tenths of a second.
 const notReadyRetryAfter = 300 * time.Millisecond
 
+// shutdownRetryAfter is when a caller should return to a node that ends. Its next connection leads to another process.
+const shutdownRetryAfter = 100 * time.Millisecond
+
 // Handler takes requests to their outcomes. It is safe for concurrent use.
 type Handler struct {
 	settings Settings
@@ -30,6 +33,8 @@
 	patience patience
 	attempt  atomic.Uint64
 	counters Counters
+	// refusing is true when the node takes no more requests.
+	refusing atomic.Bool
 	// retained is the view for which the observations were last pruned.
 	retained atomic.Pointer[view.View]
 
@@ -68,6 +73,9 @@
 }
 
 func (h *Handler) do(ctx context.Context, r *Request, trace *Trace) *Result {
+	if h.refusing.Load() {
+		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonShutdown, RetryAfter: shutdownRetryAfter}
+	}
 	v := h.viewNow()
 	if v == nil || !v.Ready || v.Version == 0 {
 		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonNotReady, RetryAfter: notReadyRetryAfter}
@@ -145,6 +153,9 @@
 	}
 }
 
+// Refuse refuses all later requests as not run, because the node ends.
+func (h *Handler) Refuse() { h.refusing.Store(true) }
+
 // InFlight returns the number of requests without an outcome.
 func (h *Handler) InFlight() int {
 	h.mu.Lock()
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -281,7 +281,7 @@
 	case <-time.After(min(h.live.Load().Platform.LeaveDelay, limit/2)):
 	case <-ctx.Done():
 	}
-	err := errors.Join(h.dispatch.WaitIdle(ctx), h.executor.WaitIdle(ctx))
+	err := h.finish(ctx, limit)
 	h.leave(ctx)
 	stopBackground()
 	h.listeners.shutdown(ctx)
@@ -298,6 +298,31 @@
 	return nil
 }
 
+// finish serves callers that have not left until the rest of the limit is needed for the requests in flight, and then
+// refuses new ones. Callers stay where the platform has no other node for them.
+func (h *Hosted) finish(ctx context.Context, limit time.Duration) error {
+	serving, stop := context.WithTimeout(ctx, limit-h.finishTime(limit)-h.live.Load().Platform.LeaveDelay)
+	defer stop()
+	if err := h.dispatch.WaitIdle(serving); err != nil {
+		log.WithFields(log.Fields{"event": "refusing", "in_flight": h.dispatch.InFlight()}).
+			Info("callers have not left; new requests are refused")
+	}
+	h.dispatch.Refuse()
+	return errors.Join(h.dispatch.WaitIdle(ctx), h.executor.WaitIdle(ctx))
+}
+
+// finishSlack is the time beside the longest timeout of a route in which requests in flight end.
+const finishSlack = 500 * time.Millisecond
+
+// finishTime returns the time that requests in flight may need, at most half of the limit.
+func (h *Hosted) finishTime(limit time.Duration) time.Duration {
+	var longest time.Duration
+	for i := range h.control.View().Content.Routes {
+		longest = max(longest, h.control.View().Content.Routes[i].Timeout)
+	}
+	return min(longest+finishSlack, limit/2)
+}
+
 // leave tells the other nodes that this one is gone.
 func (h *Hosted) leave(ctx context.Context) {
 	h.control.UpdateSelf(func(e *endpoint.Entry) { e.State = endpoint.Left })
