--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -229,14 +229,14 @@
 		reason = e.enter(r)
 	}
 	if reason != outcome.ReasonNone {
-		return e.count(refused(reason), r.Priority)
+		return e.observe(r, e.count(refused(reason), r.Priority))
 	}
 	defer e.leave()
 	deadline := time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer e.attempts.add(r.From, r.ID, cancel)()
-	return e.count(e.admit(ctx, r, deadline), r.Priority)
+	return e.observe(r, e.count(e.admit(ctx, r, deadline), r.Priority))
 }
 
 // count counts a response and adds the load of the node to a copy of it.
@@ -262,6 +262,21 @@
 	return &loaded
 }
 
+// observe logs why a request with an id of its caller was not answered.
+func (e *Executor) observe(r *wire.Request, response *wire.Response) *wire.Response {
+	if response.Outcome == outcome.Answered || r.RequestID == "" {
+		return response
+	}
+	target := e.Target()
+	e.deps.Log.WithFields(log.Fields{
+		"event": "execute", "request": r.RequestID, "from": r.From, "service": r.Service, "instance": target.Instance,
+		"outcome": response.Outcome.String(), "reason": string(response.Reason), "arrived": response.Arrived,
+		"in_use": response.InUse, "queued": response.Queued, "slots": response.Slots, "wait_ms": response.WaitMS,
+		"service_ms": response.ServiceMS, "objective_left_ms": r.ObjectiveMS, "time_left_ms": r.TimeoutMS,
+	}).Info("request not answered here")
+	return response
+}
+
 // admit waits for a slot and runs the request on a worker.
 func (e *Executor) admit(ctx context.Context, r *wire.Request, deadline time.Time) *wire.Response {
 	digest := suspect.Digest(r.Service, r.Method, r.Path, r.Body)
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -97,10 +97,11 @@
 	debug.SetGCPercent(collectPercentMin)
 	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p}
 	h.live.Store(s)
-	h.observer = newObserver(log.Log, s.Node.Name)
+	h.observer = newObserver(log.Log)
 	h.listeners = &listeners{}
 	steps := []func() error{
 		func() error { return h.listeners.openAll(s.Listen) }, h.buildControl, h.buildExecutor, h.buildDispatch, h.buildServers,
+		h.buildOperator,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -116,12 +117,10 @@
 		sourceGrace:   sourceGrace,
 		probeGone:     true,
 		probeInterval: goneInterval,
-		drain: func(wire.DrainArgs) (wire.DrainReply, error) {
-			return wire.DrainReply{}, errors.New("targets of this platform drain by themselves")
-		},
-		dump:         h.dump,
-		rolesChanged: h.rolesChanged,
-		declaredDead: func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
+		drain:         h.drainForPeer,
+		dump:          h.dump,
+		rolesChanged:  h.rolesChanged,
+		declaredDead:  func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
 	})
 	h.follower = follow.NewWhole(h.platform.Source(), h.control, follow.WholeSettings{
 		PollWait: sourceWait, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, Pause: sourcePause,
@@ -290,6 +289,7 @@
 		h.controlPool.Close()
 		h.trafficPool.Close()
 		h.work.Wait()
+		h.platform.Close()
 	}
 	log.WithFields(log.Fields{"event": "stopped", "in_flight": h.dispatch.InFlight()}).Info("shutdown finished")
 	if err != nil {
--- a/server/daemon/hosted_serve.go
+++ b/server/daemon/hosted_serve.go
@@ -36,6 +36,9 @@
 	r.run("announce listener", targets.Run)
 	r.run("ready listener", ready.Run)
 	r.run("admin listener", metrics.Run)
+	if l.operator != nil {
+		r.run("operator listener", func() error { return l.grpc.Serve(l.operator) })
+	}
 	return r.failed
 }
 
--- a/server/daemon/listen.go
+++ b/server/daemon/listen.go
@@ -188,7 +188,20 @@
 
 // buildOperator sets up the service for operators, if there is an address for it.
 func (d *Daemon) buildOperator() error {
-	if d.listeners.operator == nil {
+	return d.core.buildOperator(d.listeners, operator.Deps{
+		Log: d.log,
+		NotAppended: func(err error) bool {
+			var notAppended *platformlog.NotAppendedError
+			return errors.As(err, &notAppended)
+		},
+		Drain: d.drainForOperator,
+		Dump:  d.dump,
+	})
+}
+
+// buildOperator sets up the service for operators on their listener, if there is one.
+func (c *core) buildOperator(l *listeners, deps operator.Deps) error {
+	if l.operator == nil {
 		return nil
 	}
 	options := []grpc.ServerOption{
@@ -196,39 +209,31 @@
 		grpc.MaxConcurrentStreams(operatorStreamsMax),
 		grpc.ConnectionTimeout(operatorHandshakeTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: operatorConnectionIdle}),
-		grpc.MaxHeaderListSize(uint32(d.settings.Limits.HeaderMax)),
+		grpc.MaxHeaderListSize(uint32(c.settings.Limits.HeaderMax)),
 	}
-	if d.settings.Security.OperatorCertFile != "" {
-		creds, err := d.operatorCredentials()
+	if c.settings.Security.OperatorCertFile != "" {
+		creds, err := c.operatorCredentials()
 		if err != nil {
 			return err
 		}
 		options = append(options, grpc.Creds(creds))
 	}
-	d.listeners.grpc = grpc.NewServer(options...)
+	l.grpc = grpc.NewServer(options...)
+	deps.Control = c.control
+	deps.Caller = c.controlPool
 	operator.New(operator.Settings{
-		Node:           d.settings.Node.Name,
-		AppendTimeout:  d.settings.Log.AppendTimeout,
+		Node:           c.settings.Node.Name,
+		AppendTimeout:  c.settings.Log.AppendTimeout,
 		VerdictTimeout: operatorVerdictTimeout,
 		CallTimeout:    operatorCallTimeout,
 		ParallelCalls:  operatorParallelCalls,
-	}, operator.Deps{
-		Control: d.control,
-		Log:     d.log,
-		Caller:  d.controlPool,
-		NotAppended: func(err error) bool {
-			var notAppended *platformlog.NotAppendedError
-			return errors.As(err, &notAppended)
-		},
-		Drain: d.drainForOperator,
-		Dump:  d.dump,
-	}).Register(d.listeners.grpc)
+	}, deps).Register(l.grpc)
 	return nil
 }
 
 // operatorCredentials asks operators for a certificate of the configured authority.
-func (d *Daemon) operatorCredentials() (credentials.TransportCredentials, error) {
-	s := d.settings.Security
+func (c *core) operatorCredentials() (credentials.TransportCredentials, error) {
+	s := c.settings.Security
 	cert, err := tls.LoadX509KeyPair(s.OperatorCertFile, s.OperatorKeyFile)
 	if err != nil {
 		return nil, fmt.Errorf("load operator certificate: %w", err)
--- a/server/daemon/logging/bounded.go
+++ b/server/daemon/logging/bounded.go
@@ -16,10 +16,9 @@
 	flushInterval = 100 * time.Millisecond
 	// pendingMax limits the bytes that wait to be written; a reader that stands still costs lines, never requests.
 	pendingMax = 256 << 10
-	// eventMax limits the lines of one event in a second, failureMax those of requests that were not answered. Both are
-	// far above what an operator reads, and together with pendingMax keep the cost of a storm of lines bounded.
-	eventMax   = 50
-	failureMax = 200
+	// EventMax limits the lines of one event in a second. It is far above what an operator reads, and together with
+	// pendingMax keeps the cost of a storm of lines bounded.
+	EventMax = 100
 )
 
 // Line is the form of a log line.
@@ -53,16 +52,12 @@
 // HandleLog takes an entry. Errors are always accepted as long as there is room.
 func (b *Bounded) HandleLog(e *log.Entry) error {
 	event, _ := e.Fields["event"].(string)
-	limit := eventMax
-	if e.Level > log.DebugLevel && event == "request" {
-		limit = failureMax
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.turn(e.Timestamp.Unix())
 	key := event + "/" + e.Level.String()
 	b.counts[key]++
-	if b.counts[key] > limit && e.Level < log.ErrorLevel {
+	if b.counts[key] > EventMax && e.Level < log.ErrorLevel {
 		b.suppressed[key]++
 		return nil
 	}
--- a/server/daemon/observer.go
+++ b/server/daemon/observer.go
@@ -4,26 +4,40 @@
 	"strings"
 
 	"github.com/apex/log"
+	"golang.org/x/time/rate"
 
 	"wagtailford.example/server/coordination/dispatch"
+	"wagtailford.example/server/daemon/logging"
 	"wagtailford.example/server/protocol/outcome"
 )
 
 // observer writes a log line for each decision on a request.
 type observer struct {
-	logger log.Interface
-	node   string
+	logger  log.Interface
+	limiter *rate.Limiter
 }
 
-func newObserver(logger log.Interface, node string) *observer {
-	return &observer{logger: logger, node: node}
+func newObserver(logger log.Interface) *observer {
+	return &observer{logger: logger, limiter: rate.NewLimiter(logging.EventMax, logging.EventMax)}
 }
 
-// request logs how a request ended and what decided it. Requests that were answered at the first attempt are logged at
-// a lower level than all others.
+// Events of a request. They have limits of their own, so that many served requests leave room for those that failed.
+const (
+	eventServed = "request"
+	eventFailed = "request_failed"
+)
+
+// request logs how a request ended and what decided it.
 func (o *observer) request(t *dispatch.Trace) {
+	event := eventFailed
+	if t.Result.Outcome == outcome.Answered && t.Result.Status < 500 {
+		event = eventServed
+	}
+	if event == eventServed && !o.served() {
+		return
+	}
 	fields := log.Fields{
-		"event": "request", "request": t.Request.ID, "route": t.Route, "service": t.Service, "version": t.Version,
+		"event": event, "request": t.Request.ID, "route": t.Route, "service": t.Service, "version": t.Version,
 		"outcome": t.Result.Outcome.String(), "took_ms": t.Took.Milliseconds(),
 	}
 	if t.Result.Reason != outcome.ReasonNone {
@@ -43,12 +57,13 @@
 		attempts = append(attempts, t.Attempts[i].String())
 	}
 	fields["attempts"] = strings.Join(attempts, "; ")
-	entry := o.logger.WithFields(fields)
-	if t.Result.Outcome == outcome.Answered && t.Result.Status < 500 && len(t.Attempts) == 1 {
-		entry.Debug("request answered")
-		return
-	}
-	entry.Info("request ended")
+	o.logger.WithFields(fields).Info("request ended")
+}
+
+// served reports whether a line about a request that was served would be written. Making one costs more than most of
+// what else a node does for a request, so it is asked first.
+func (o *observer) served() bool {
+	return logging.Level() <= log.InfoLevel && o.limiter.Allow()
 }
 
 // dependency logs that something the node depends on was lost or regained.
