Add a soak of real processes with faults from outside

standin/soak runs wagtaild processes behind loopback proxies, disturbs them by a seeded schedule (signals, links that are slow, reset, silent or cut one way, the store, history, configurations, faults, crashes, drains and ends of targets) and checks what callers and targets see. peer_advertised gives a node an address for others that it does not listen on.

--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -102,7 +102,7 @@
 	}, endpoint.Entry{
 		Node:          s.Node.Name,
 		Key:           endpoint.Key{Incarnation: c.started.UnixNano(), Revision: 1},
-		Address:       s.Listen.Peer,
+		Address:       s.Listen.PeerAddress(),
 		FailureDomain: s.Node.FailureDomain,
 		Region:        s.Node.Region,
 	})
--- a/server/daemon/meet.go
+++ b/server/daemon/meet.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	return h.platform.Directory().Publish(ctx, seeds.Record{
 		Node:        h.settings.Node.Name,
-		Address:     h.settings.Listen.Peer,
+		Address:     h.settings.Listen.PeerAddress(),
 		Incarnation: h.started.UnixNano(),
 		RenewedMS:   time.Now().UnixMilli(),
 	})
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -39,6 +39,7 @@
 func listenKeys(l *Listen) []key {
 	return section("listen",
 		address("peer", &l.Peer, required, "address for other nodes"),
+		address("peer_advertised", &l.PeerAdvertised, optional, "address at which other nodes reach this one, if it is not peer"),
 		address("ingress", &l.Ingress, required, "address for callers"),
 		address("operator", &l.Operator, optional, "address for operators; empty for none"),
 		address("announce", &l.Announce, required, "loopback address for the target"),
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -52,17 +52,27 @@
 
 // Listen holds host:port addresses.
 type Listen struct {
-	Peer     string
-	Ingress  string
-	Operator string
-	Announce string
-	Admin    string
+	Peer string
+	// PeerAdvertised is the address at which other nodes reach this one, if it is not Peer.
+	PeerAdvertised string
+	Ingress        string
+	Operator       string
+	Announce       string
+	Admin          string
 	// Ready answers the platform whether callers should use the node.
 	Ready string
 	// Profile adds processor and memory profiles to the admin listener.
 	Profile bool
 }
 
+// PeerAddress returns the address at which other nodes reach this one.
+func (l Listen) PeerAddress() string {
+	if l.PeerAdvertised != "" {
+		return l.PeerAdvertised
+	}
+	return l.Peer
+}
+
 // Security holds credentials and certificate files.
 type Security struct {
 	ClusterCredential     string
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -22,7 +22,9 @@
 	Zone     string
 	// Listen is the address of the target, Control that of the node beside it.
 	Listen, Control string
-	Slots           int
+	// Reported is the address that the target states, if it is reached by another one than it listens on.
+	Reported string
+	Slots    int
 	// Work is the mean time that a request takes.
 	Work time.Duration
 	// Beat is the time between two reports.
@@ -93,6 +95,16 @@
 // Address returns host:port.
 func (t *Target) Address() string { return t.listener.Addr().String() }
 
+// Instance returns the name of this start of the target.
+func (t *Target) Instance() string { return t.settings.Instance }
+
+func (t *Target) reported() string {
+	if t.settings.Reported != "" {
+		return t.settings.Reported
+	}
+	return t.Address()
+}
+
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(f TargetFaults) {
 	t.mu.Lock()
@@ -157,7 +169,7 @@
 	t.mu.Lock()
 	t.sequence++
 	body := map[string]any{
-		"address": t.Address(), "born": t.born,
+		"address": t.reported(), "born": t.born,
 		"info":   map[string]any{"service": t.settings.Service, "version": "v1", "zone": t.settings.Zone, "slots": t.settings.Slots},
 		"status": map[string]any{"state": t.state, "sequence": t.sequence, "cold-left-s": 0},
 	}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,283 @@
+// Package soak runs a mesh of real processes on loopback addresses, disturbs it from outside by a seeded schedule, and
+// checks what callers and targets see against what the mesh promises.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"wagtailford.example/standin/platform"
+)
+
+// Settings describe a run.
+type Settings struct {
+	// Program is the path of wagtaild, Dir takes settings and logs.
+	Program, Dir string
+	Seed         uint64
+	Nodes        int
+	// Length is how long faults come; afterwards everything is healed.
+	Length time.Duration
+	Out    io.Writer
+}
+
+const (
+	// drainBound is the time after which a target that left gets no work.
+	drainBound = 2 * time.Second
+	// healBound is the time after the last fault within which every node serves again.
+	healBound = 15 * time.Second
+	callers   = 4
+	patience  = 2 * time.Second
+	beat      = 200 * time.Millisecond
+)
+
+// service is the only service of the mesh.
+const service = "orders"
+
+// run is a soak in progress.
+type run struct {
+	settings Settings
+	store    *platform.Store
+	random   *rand.Rand
+	nodes    []*node
+	check    *check
+	version  int
+}
+
+// node is one process with its target and the links that it uses.
+type node struct {
+	run *run
+	id  int
+	ip  string
+	// storeLink, peerLink and targetLink are the ways to the store, of other nodes to this one, and to the target.
+	storeLink, peerLink, targetLink *proxy
+	settingsFile                    string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	target *platform.Target
+	starts int
+	paused bool
+}
+
+// Run plays one seed and returns the promises that were broken.
+func Run(ctx context.Context, s Settings) (faults []string, err error) {
+	store, err := platform.StartStore("127.0.0.1:0", s.Seed)
+	if err != nil {
+		return nil, err
+	}
+	defer store.Close()
+	r := &run{settings: s, store: store, random: rand.New(rand.NewPCG(s.Seed, 17)), check: newCheck()}
+	r.publish()
+	defer r.end()
+	for i := range s.Nodes {
+		n, err := r.startNode(i)
+		if err != nil {
+			return nil, err
+		}
+		r.nodes = append(r.nodes, n)
+	}
+	if err := r.awaitServing(ctx, time.Minute); err != nil {
+		return nil, fmt.Errorf("before the first fault: %w", err)
+	}
+	load, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for _, n := range r.nodes {
+		for range callers {
+			wg.Go(func() { r.call(load, n) })
+		}
+	}
+	r.disturb(ctx)
+	r.heal()
+	if err := r.awaitServing(ctx, healBound); err != nil {
+		r.check.fault("RECOVER", err.Error())
+	}
+	stop()
+	wg.Wait()
+	r.check.end(r.allRuns())
+	fmt.Fprintf(s.Out, "seed=%d %s\n", s.Seed, r.check.summary())
+	return r.check.faults, nil
+}
+
+func (r *run) end() {
+	for _, n := range r.nodes {
+		n.kill()
+		n.target.Crash()
+		for _, p := range []*proxy{n.storeLink, n.peerLink, n.targetLink} {
+			p.close()
+		}
+	}
+}
+
+// publish appends the next configuration; its idle routes differ from version to version.
+func (r *run) publish() {
+	r.version++
+	r.store.PublishConfig(fmt.Appendf(nil, `{"version":%d,"limits":{"idle-timeout-s":15},"listeners":[{"host":"shop.example","rules":[
+		{"name":"read","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/read/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":3}},
+		{"name":"write","kind":"non_idempotent","target-latency-s":0.5,"priority":0,"match":{"path-prefix":"/write/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}},
+		{"name":"idle","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/idle%[1]d/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}}]}],
+		"clusters":[{"name":%[2]q,"health-path":%[3]q,"max-connections":100}]}`, r.version, service, platform.HealthPath))
+}
+
+func (r *run) startNode(id int) (*node, error) {
+	n := &node{run: r, id: id, ip: fmt.Sprintf("127.0.%d.%d", 40+r.settings.Seed%100, id+1)}
+	var err error
+	if n.storeLink, err = startProxy(n.ip+":7101", r.store.Address()); err != nil {
+		return nil, err
+	}
+	if n.peerLink, err = startProxy(n.ip+":7102", n.ip+":7202"); err != nil {
+		return nil, err
+	}
+	if n.targetLink, err = startProxy(n.ip+":7103", n.ip+":7203"); err != nil {
+		return nil, err
+	}
+	n.settingsFile = filepath.Join(r.settings.Dir, fmt.Sprintf("n%d.ini", id))
+	text := fmt.Sprintf(`[node]
+name = n%[1]d
+cluster = soak
+region = r
+failure_domain = d%[2]d
+shutdown_timeout = 4s
+[listen]
+peer = %[3]s:7202
+peer_advertised = %[3]s:7102
+ingress = %[3]s:7204
+announce = %[3]s:7205
+ready = %[3]s:7206
+admin = %[3]s:7207
+[security]
+cluster_credential = soak-credential-of-all-nodes
+[platform]
+store = %[3]s:7101
+leave_delay = 300ms
+[fanout]
+followers_per_domain = 8
+reconnect_jitter = 50ms
+[target]
+service = %[4]s
+announce_lease = 1s
+`, id, id%2, n.ip, service)
+	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	if err := n.start(); err != nil {
+		return nil, err
+	}
+	return n, n.startTarget()
+}
+
+// start starts the process of the node.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	logFile, err := os.OpenFile(n.settingsFile+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer logFile.Close()
+	n.cmd = exec.Command(n.run.settings.Program, "run", n.settingsFile)
+	n.cmd.Stdout = logFile
+	n.cmd.Stderr = logFile
+	return n.cmd.Start()
+}
+
+// signal sends a signal to the process.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd.Process != nil {
+		_ = n.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process and waits for it.
+func (n *node) kill() {
+	n.signal(syscall.SIGKILL)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Wait()
+}
+
+// restart ends the process with a signal and starts it again.
+func (n *node) restart(s syscall.Signal) {
+	n.signal(s)
+	n.mu.Lock()
+	_ = n.cmd.Wait()
+	n.mu.Unlock()
+	if err := n.start(); err != nil {
+		n.run.check.fault("START", err.Error())
+	}
+}
+
+// startTarget starts the next target beside the node. Its address is that of the link to it.
+func (n *node) startTarget() error {
+	n.starts++
+	target, err := platform.StartTarget(platform.TargetSettings{
+		Instance: fmt.Sprintf("i-%d-%d", n.id, n.starts), Service: service, Zone: "z", Listen: n.ip + ":7203",
+		Reported: n.targetLink.address(), Control: n.ip + ":7205", Slots: 6, Work: 10 * time.Millisecond, Beat: beat,
+		Seed: n.run.settings.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.target = target
+	return nil
+}
+
+func (r *run) allRuns() []platform.Run {
+	var all []platform.Run
+	for _, n := range r.nodes {
+		all = append(all, n.target.Runs()...)
+	}
+	return append(all, r.check.past...)
+}
+
+// awaitServing waits until every node answers a request.
+func (r *run) awaitServing(ctx context.Context, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for _, n := range r.nodes {
+		for !r.probe(ctx, n) {
+			if time.Now().After(end) {
+				return fmt.Errorf("node %d does not serve after %v", n.id, limit)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *run) probe(ctx context.Context, n *node) bool {
+	caller := platform.NewCaller(n.ip + ":7204")
+	defer caller.Close()
+	call := r.check.next("/write/1")
+	reply := caller.Do(ctx, call)
+	r.check.seen(call, reply)
+	return reply.Whole(call)
+}
+
+// call sends requests to one node until ctx ends, on one connection as long as it lasts.
+func (r *run) call(ctx context.Context, n *node) {
+	caller := platform.NewCaller(n.ip + ":7204")
+	defer caller.Close()
+	for i := 0; ctx.Err() == nil; i++ {
+		path := "/write/1"
+		if i%2 == 1 {
+			path = "/read/1"
+		}
+		call := r.check.next(path)
+		reply := caller.Do(context.WithoutCancel(ctx), call)
+		r.check.seen(call, reply)
+		if !reply.Whole(call) {
+			time.Sleep(max(reply.RetryAfter, 10*time.Millisecond))
+		}
+	}
+}
--- /dev/null
+++ b/standin/soak/soak_test.go
@@ -0,0 +1,27 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// seeds are played in CI: seed 1, and every seed that ever failed, with the cause.
+var seeds = []uint64{1}
+
+// Guards against promises that the assembled processes break under faults that overlap.
+func TestSeeds(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "wagtaild")
+	build, err := exec.Command("go", "build", "-o", program, "wagtailford.example/server/cmd/wagtaild").CombinedOutput()
+	assert.NilError(t, err, "%s", build)
+	for _, seed := range seeds {
+		faults, err := Run(t.Context(), Settings{
+			Program: program, Dir: t.TempDir(), Seed: seed, Nodes: 4, Length: 8 * time.Second, Out: t.Output(),
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, len(faults), 0, "seed %d: %v", seed, faults)
+	}
+}
