Ask a store that failed without waiting

Ruled out: peers (all reads of the fleet hung alike), roles (the node read the store itself).

TestWholeFollower fails before (waits 2 s after a failure).

--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -98,7 +98,7 @@
 	// A peer may have delivered a newer configuration than the last one read here.
 	f.passed = max(f.passed, f.sink.Offset())
 	f.Counters.Reads.Add(1)
-	w, err := f.source.Next(ctx, f.passed, f.settings.PollWait)
+	w, err := f.source.Next(ctx, f.passed, f.wait())
 	var unreadable *UnreadableError
 	if errors.As(err, &unreadable) {
 		f.reachable()
@@ -125,6 +125,15 @@
 	return true, nil
 }
 
+// wait returns how long the source is asked to wait. A source that failed is not asked to: a read that waits cannot be
+// told from one on a connection that fell silent, and would be given up only after the source is long back.
+func (f *WholeFollower) wait() time.Duration {
+	if f.failing {
+		return 0
+	}
+	return f.settings.PollWait
+}
+
 // reject passes a publication over; the configuration in force stays.
 func (f *WholeFollower) reject(offset uint64, err error) {
 	f.passed = max(f.passed, offset)
--- /dev/null
+++ b/server/coordination/follow/whole_test.go
@@ -0,0 +1,83 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/state/config"
+)
+
+// scripted is a source that answers from a list and ends the test's context after it.
+type scripted struct {
+	answers []func() (*config.Whole, error)
+	waits   []time.Duration
+	after   []uint64
+	end     context.CancelFunc
+}
+
+func (s *scripted) Next(_ context.Context, after uint64, wait time.Duration) (*config.Whole, error) {
+	s.waits = append(s.waits, wait)
+	s.after = append(s.after, after)
+	if len(s.answers) == 0 {
+		s.end()
+		return nil, context.Canceled
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	return answer()
+}
+
+// installs is a sink that notes what it was given.
+type installs struct {
+	offset    uint64
+	sequences []uint64
+}
+
+func (i *installs) Offset() uint64 { return i.offset }
+
+func (i *installs) InstallWhole(w *config.Whole) error {
+	if w.Sequence == 99 {
+		return &config.InvalidError{Sequence: w.Sequence, Detail: "for the test"}
+	}
+	i.offset = w.Offset
+	i.sequences = append(i.sequences, w.Sequence)
+	return nil
+}
+
+func whole(offset, sequence uint64) func() (*config.Whole, error) {
+	return func() (*config.Whole, error) { return &config.Whole{Offset: offset, Sequence: sequence}, nil }
+}
+
+func failed() (*config.Whole, error) { return nil, errors.New("silent") }
+
+func nothing() (*config.Whole, error) { return nil, nil }
+
+func unreadable() (*config.Whole, error) {
+	return nil, &UnreadableError{Offset: 7, Cause: errors.New("cut short")}
+}
+
+// Guards against a follower that waits on a silent connection after the source is back, reads a bad publication again
+// and again, or falls back behind a configuration that a peer delivered.
+func TestWholeFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pollWait = 2 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &scripted{end: cancel, answers: []func() (*config.Whole, error){
+			whole(3, 1), nothing, failed, failed, nothing, whole(5, 99), unreadable, whole(9, 4), nothing,
+		}}
+		sink := &installs{}
+		settings := WholeSettings{PollWait: pollWait, RetryMin: 50 * time.Millisecond, RetryMax: 500 * time.Millisecond, Pause: time.Second}
+		NewWhole(source, sink, settings, &log.Logger{Handler: discard.Default}).Run(ctx)
+		assert.DeepEqual(t, sink.sequences, []uint64{1, 4})
+		assert.DeepEqual(t, source.after, []uint64{0, 3, 3, 3, 3, 3, 5, 7, 9, 9})
+		p := pollWait
+		assert.DeepEqual(t, source.waits, []time.Duration{p, p, p, 0, 0, p, p, p, p, p})
+	})
+}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -56,7 +56,7 @@
 	triesMax = 4
 	// sourceWait is how long the store is asked to wait for a configuration. A read that hangs since the store went
 	// silent is given up soon enough after it for the next change to be in force within two seconds.
-	sourceWait = 3 * time.Second
+	sourceWait = 2 * time.Second
 	// sourceRetryMin and sourceRetryMax bound the delay after a failed read: the store's return is noticed in time.
 	sourceRetryMin = 50 * time.Millisecond
 	sourceRetryMax = 500 * time.Millisecond
