Bring nodes that restart while the store is away back sooner

Peers looked for it every 600 ms among all nodes that are gone, first on the closed connection to its last process, and the check of its target gave up after a second without a configuration.

Ruled out: crashed targets, admission.

A refusal after refusals states their reason (TestReasonOfRefusal).

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -33,8 +33,9 @@
 // leave.
 type Asker func(ctx context.Context, report Report) (serving bool)
 
-// askTimeout limits one question to the target. It waits for a slot like a request.
-const askTimeout = time.Second
+// askTimeout limits the wait for a configuration and the question to the target. A node that starts while the store is
+// away has its configuration from peers within it.
+const askTimeout = 5 * time.Second
 
 // ErrIncomplete means that a report lacks a field without which the target cannot be used.
 var ErrIncomplete = errors.New("incomplete report")
--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -182,6 +182,17 @@
 	}
 }
 
+// Guards against a refusal that names no target although there are some, which are full.
+func TestReasonOfRefusal(t *testing.T) {
+	v := testView()
+	v.ByService["s"] = v.ByService["s"][:2]
+	result := newHandler(newMesh(func(string) behaviour { return full }), v, 1).Do(t.Context(), &Request{ID: "q", Host: "h", Path: "/w/1"})
+	assert.Equal(t, result.Reason, outcome.ReasonQueueFull)
+	v.ByService["s"] = nil
+	result = newHandler(newMesh(script()), v, 1).Do(t.Context(), &Request{ID: "q", Host: "h", Path: "/w/1"})
+	assert.Equal(t, result.Reason, outcome.ReasonNoTarget)
+}
+
 // Guards against requests that run twice or are refused although they ran, over random faults of the nodes.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(200) {
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -42,6 +42,8 @@
 	mayHaveRun bool
 	// failure is an answer of a target with an error status that a later attempt may replace.
 	failure *wire.Response
+	// lastRefusal is why the last node refused; ReasonNoTarget before the first.
+	lastRefusal outcome.Reason
 	// room is the shortest wait for a slot that a refusing node stated; 0 if none did.
 	room time.Duration
 }
@@ -50,10 +52,11 @@
 func (j *job) run(ctx context.Context) *Result {
 	j.h.budget.First(j.service, time.Now().UnixMilli())
 	j.tried = make(map[string]bool)
+	j.lastRefusal = outcome.ReasonNoTarget
 	for {
 		target := j.choose()
 		if target == nil {
-			return j.final(refuse(outcome.ReasonNoTarget))
+			return j.final(refuse(j.lastRefusal))
 		}
 		if j.arrivals > 0 && !j.h.budget.Take(j.service, j.failure != nil, time.Now().UnixMilli()) {
 			j.trace.BudgetExhausted = true
@@ -107,6 +110,9 @@
 	case repeat:
 		j.h.budget.Return(j.service, ended.UnixMilli())
 	}
+	if response.Outcome == outcome.RefusedNotRun {
+		j.lastRefusal = response.Reason
+	}
 	if wait := time.Duration(response.WaitMS) * time.Millisecond; wait > 0 && (j.room == 0 || wait < j.room) {
 		j.room = wait
 	}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -65,7 +65,7 @@
 	sourceGrace = 800 * time.Millisecond
 	// goneInterval is the mean time between two looks of a node for one that is gone. Many nodes look, so one that is
 	// back is found within some tenths of a second.
-	goneInterval = 600 * time.Millisecond
+	goneInterval = 250 * time.Millisecond
 	// sourcePause is the time between two reads of configurations in quick succession. Each is complete in itself, so
 	// only the newest has to be installed, and the pause is small against the time in which it has to be in force.
 	sourcePause = 700 * time.Millisecond
--- a/server/transport/peer/codec.go
+++ b/server/transport/peer/codec.go
@@ -115,6 +115,8 @@
 // clientCodec is the client half of net/rpc on a message stream.
 type clientCodec struct {
 	*messageStream
+	// ended is called when nothing more can be read.
+	ended func()
 }
 
 // WriteRequest sends a request. A body above the limit is refused before it is encoded: afterwards the connection
@@ -128,6 +130,7 @@
 
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	if err := c.nextMessage(); err != nil {
+		c.ended()
 		return err
 	}
 	return c.decoder.Decode(r)
--- a/server/transport/peer/pool.go
+++ b/server/transport/peer/pool.go
@@ -140,10 +140,20 @@
 	p.counter.open.Add(1)
 	conn.stream = newMessageStream(raw, p.limits, &p.counter)
 	conn.lastUse.Store(time.Now().UnixNano())
-	conn.client = rpc.NewClientWithCodec(&clientCodec{conn.stream})
+	conn.client = rpc.NewClientWithCodec(&clientCodec{messageStream: conn.stream, ended: func() { p.ended(conn) }})
 	go p.watch(conn)
 }
 
+// ended forgets a connection that the other end closed, at once: the failure of a call on it could not be told from
+// that of one that was sent.
+func (p *Pool) ended(conn *clientConn) {
+	p.forget(conn)
+	go func() {
+		<-conn.opened
+		p.drop(conn)
+	}()
+}
+
 // watch pings a connection that is quiet while calls are pending, gives it up when it stays silent, and closes it
 // when it is idle.
 func (p *Pool) watch(conn *clientConn) {
