--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -330,7 +330,8 @@
 		if e.Live() {
 			known[e.Address] = true
 		}
-		if e.Node != l.node && e.FailureDomain == l.domain && (e.State == endpoint.Dead || misplaced(e, nodes, roles)) {
+		if e.Node != l.node && (l.settings.ProbeGone && !e.Live() ||
+			e.FailureDomain == l.domain && (e.State == endpoint.Dead || misplaced(e, nodes, roles))) {
 			peers = append(peers, fanout.Peer{Node: e.Node, Address: e.Address})
 		}
 	}
@@ -339,40 +340,9 @@
 			peers = append(peers, fanout.Peer{Address: address})
 		}
 	}
-	if l.settings.ProbeGone {
-		return l.probesOfGone(nodes, time.Now())
-	}
 	return peers
 }
 
-const (
-	// recentlyGone is the time in which a node that is gone is most likely to come back: its process is started again
-	// or its machine replaced within it.
-	recentlyGone = 20 * time.Second
-	// seldomProbed is the number of looks of which one goes to a node that has been gone for longer. Its address may
-	// swallow everything that is sent to it.
-	seldomProbed = 16
-)
-
-// probesOfGone lists the nodes that are gone: those of the last seconds, and now and then all.
-func (l *Loop) probesOfGone(nodes map[string]*endpoint.Entry, now time.Time) []fanout.Peer {
-	var recent, all []fanout.Peer
-	for _, e := range nodes {
-		if e.Live() || e.Node == l.node {
-			continue
-		}
-		p := fanout.Peer{Node: e.Node, Address: e.Address}
-		all = append(all, p)
-		if now.UnixMilli()-e.DiedMS < recentlyGone.Milliseconds() {
-			recent = append(recent, p)
-		}
-	}
-	if l.settings.Jitter(seldomProbed) == 0 {
-		return all
-	}
-	return recent
-}
-
 // misplaced reports whether a live node acts on other roles than this node would give it, or syncs with a node that
 // is not known to live. It may belong to a tree of nodes that do not know this one.
 func misplaced(e *endpoint.Entry, nodes map[string]*endpoint.Entry, roles *fanout.Roles) bool {
