Tell kinds of requests apart at full targets, and stop offers to full domains

Estimates of the service time were kept by the priority of the route, and two routes of the ledger have the same priority, so orders of 150 ms and lookups of 55 ms shared one estimate.

Ruled out: control traffic (40 KB/s for all nodes) and answers to served requests (about 16 of 37 MB).

Each route has its own estimate, with its mean deviation; the reserve before the due time is the mean and 1.1 deviations (2.2 from other domains). A node of another domain that refused a kind as full is not offered that kind again for the wait that it stated, 50 to 250 ms.

--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -35,17 +35,10 @@
 	DefaultExclusiveWait = time.Second
 )
 
-// ClassMax is the highest class of requests that is told apart.
-const ClassMax = 15
-
 // slowStartMinimum is the number of slots of a target that has just started. With one slot, a single long request
 // would hide the target for its whole duration.
 const slowStartMinimum = 2
 
-// serviceTimeWeight is the share of a new observation in the moving mean of the service time. An eighth follows a
-// change of load within some tens of requests and ignores a single slow one.
-const serviceTimeWeight = 0.125
-
 // Verdict is the decision on an arriving request.
 type Verdict uint8
 
@@ -68,8 +61,8 @@
 	Deadline time.Time
 	// Exclusive requests run alone.
 	Exclusive bool
-	// Class is the kind of request by which its service time is estimated, 0 to ClassMax.
-	Class int
+	// Kind tells requests of different routes apart. Each kind has its own estimate of the service time.
+	Kind uint32
 	// Far is true if the request comes from another failure domain.
 	Far bool
 	// Due is when its answer is late; zero if it is never late before the deadline. Requests with a due time start in
@@ -82,7 +75,7 @@
 	id       uint64
 	deadline time.Time
 	due      time.Time
-	class    int
+	kind     uint32
 }
 
 // State is the state of admission at one target. It is changed by one caller at a time.
@@ -100,10 +93,8 @@
 	turn int
 	// blockedSince is the time since which slots stay empty for the first waiting suspect; zero if they don't.
 	blockedSince time.Time
-	serviceTime  time.Duration
-	// classTimes are the moving means of the service time by class; 0 before the first request of a class ended.
-	classTimes [ClassMax + 1]time.Duration
-	actions    []Action
+	times        serviceTimes
+	actions      []Action
 }
 
 // New returns a state without requests, for a target that is not cold.
@@ -145,7 +136,7 @@
 func (s *State) Queued() int { return len(s.normal) + len(s.exclusive) }
 
 // ServiceTime returns the moving mean of the time for which requests held a slot; 0 before the first one ended.
-func (s *State) ServiceTime() time.Duration { return s.serviceTime }
+func (s *State) ServiceTime() time.Duration { return s.times.all.mean }
 
 // Arrive decides on a request without due time.
 func (s *State) Arrive(now time.Time, id uint64, deadline time.Time, exclusive bool) (Verdict, outcome.Reason) {
@@ -168,7 +159,7 @@
 	if len(s.normal) >= s.settings.Queue {
 		return Refused, outcome.ReasonQueueFull
 	}
-	w := waiter{id: a.ID, deadline: a.Deadline, due: a.Due, class: a.Class}
+	w := waiter{id: a.ID, deadline: a.Deadline, due: a.Due, kind: a.Kind}
 	at := s.place(w)
 	start := now.Add(s.wait(now, at))
 	if start.After(a.Deadline) {
@@ -182,9 +173,9 @@
 }
 
 const (
-	// dueReserve is the part of the estimated service time that is kept free before the due time. Service times vary,
-	// so with the mean alone half of the requests that wait would be late.
-	dueReserve = 1.6
+	// dueReserve is the number of mean deviations beyond the mean service time that are kept free before the due time.
+	// With the mean alone half of the requests that wait would be late.
+	dueReserve = 1.1
 	// farReserve is the same for a request from another failure domain. When all are full, each serves its own callers
 	// first, which sends fewer bytes between them for the same number of answers.
 	farReserve = 2.2
@@ -192,11 +183,11 @@
 
 // reserve returns the time that must remain between the start of a request and its due time.
 func (s *State) reserve(a Arrival) time.Duration {
-	share := dueReserve
+	deviations := dueReserve
 	if a.Far {
-		share = farReserve
+		deviations = farReserve
 	}
-	return time.Duration(share * float64(s.ClassTime(a.Class)))
+	return s.times.of(a.Kind).beyond(deviations)
 }
 
 // place returns the position of a request in the queue: before the first one that is due later.
@@ -211,13 +202,8 @@
 	return at
 }
 
-// ClassTime returns the estimate of the service time of a class: its own moving mean, or that of all requests.
-func (s *State) ClassTime(class int) time.Duration {
-	if t := s.classTimes[classIndex(class)]; t > 0 {
-		return t
-	}
-	return s.serviceTime
-}
+// KindTime returns the estimate of the service time of a kind: its own moving mean, or that of all requests.
+func (s *State) KindTime(kind uint32) time.Duration { return s.times.of(kind).mean }
 
 // Wait returns the time after which a request that arrives now would start.
 func (s *State) Wait(now time.Time) time.Duration {
@@ -227,8 +213,6 @@
 	return s.wait(now, len(s.normal))
 }
 
-func classIndex(class int) int { return min(max(class, 0), ClassMax) }
-
 func (s *State) arriveExclusive(now time.Time, id uint64, deadline time.Time) (Verdict, outcome.Reason) {
 	if s.inUse == 0 && s.Queued() == 0 {
 		s.startAlone()
@@ -243,9 +227,9 @@
 }
 
 // wait estimates the time until a request with the given number of waiting requests before it starts: one request
-// ends every serviceTime/slots.
+// ends every mean service time / slots.
 func (s *State) wait(now time.Time, before int) time.Duration {
-	return s.serviceTime * time.Duration(before+1) / time.Duration(s.Slots(now))
+	return s.times.all.mean * time.Duration(before+1) / time.Duration(s.Slots(now))
 }
 
 // closed reports whether slots stay empty for a suspect.
@@ -285,20 +269,8 @@
 	return s.settle(now)
 }
 
-// Observe notes how long a request of a class held its slot.
-func (s *State) Observe(d time.Duration, class int) {
-	s.serviceTime = average(s.serviceTime, d)
-	own := &s.classTimes[classIndex(class)]
-	*own = average(*own, d)
-}
-
-// average moves a mean by a new observation; the first one sets it.
-func average(mean, d time.Duration) time.Duration {
-	if mean == 0 {
-		return d
-	}
-	return mean + time.Duration(serviceTimeWeight*float64(d-mean))
-}
+// Observe notes how long a request of a kind held its slot.
+func (s *State) Observe(d time.Duration, kind uint32) { s.times.observe(d, kind) }
 
 // Abandon removes a queued request that is no longer wanted. It is no error if the request is not queued.
 func (s *State) Abandon(now time.Time, id uint64) []Action {
@@ -365,7 +337,7 @@
 	}
 	for len(s.normal) > 1 {
 		w := s.normal[0]
-		needed := time.Duration(hopelessShare * float64(s.ClassTime(w.class)))
+		needed := time.Duration(hopelessShare * float64(s.KindTime(w.kind)))
 		if w.due.IsZero() || !now.Add(needed).After(w.due) {
 			return
 		}
--- a/server/coordination/admission/due_test.go
+++ b/server/coordination/admission/due_test.go
@@ -40,6 +40,51 @@
 	assert.DeepEqual(t, actions, []Action{{ID: 2, Reason: outcome.ReasonQueueFull}, {ID: 5}})
 }
 
+// Guards against long requests that are admitted by the service time of short ones, and short ones that are refused by
+// that of long ones.
+func TestKindsHaveTheirOwnTimes(t *testing.T) {
+	const short, long = uint32(1), uint32(2)
+	now := time.UnixMilli(1_800_000_000_000)
+	s := New(Settings{Slots: 1, Queue: 10})
+	for range 50 {
+		s.Observe(50*time.Millisecond, short)
+		s.Observe(400*time.Millisecond, long)
+	}
+	s.Admit(now, Arrival{ID: 1, Deadline: now.Add(time.Minute), Kind: short})
+	wait := s.Wait(now)
+	arrive := func(id uint64, kind uint32, left time.Duration) Verdict {
+		verdict, _ := s.Admit(now, Arrival{ID: id, Deadline: now.Add(time.Minute), Due: now.Add(wait + left), Kind: kind})
+		return verdict
+	}
+	assert.Equal(t, arrive(2, long, 300*time.Millisecond), Refused)
+	assert.Equal(t, arrive(3, short, 60*time.Millisecond), Queued)
+}
+
+// Guards against a reserve that is too small for service times which vary and too large for those which do not.
+func TestReserveFollowsDeviation(t *testing.T) {
+	const steady, varying = uint32(1), uint32(2)
+	s := New(Settings{Slots: 1, Queue: 10})
+	for i := range 200 {
+		s.Observe(100*time.Millisecond, steady)
+		s.Observe(time.Duration(i%2)*200*time.Millisecond, varying)
+	}
+	steadyReserve := s.reserve(Arrival{Kind: steady})
+	varyingReserve := s.reserve(Arrival{Kind: varying})
+	assert.Assert(t, steadyReserve < 110*time.Millisecond, "%v", steadyReserve)
+	assert.Assert(t, varyingReserve > 180*time.Millisecond, "%v", varyingReserve)
+	assert.Assert(t, s.reserve(Arrival{Kind: varying, Far: true}) > varyingReserve)
+}
+
+// Guards against estimates that grow with the number of routes.
+func TestKindsAreBounded(t *testing.T) {
+	s := New(Settings{Slots: 1, Queue: 10})
+	for kind := range uint32(10 * kindsMax) {
+		s.Observe(time.Millisecond, kind)
+	}
+	assert.Equal(t, len(s.times.byKind), kindsMax)
+	assert.Equal(t, s.KindTime(10*kindsMax), s.ServiceTime())
+}
+
 // Guards against a request from another failure domain that takes a place in the queue which the target's own callers
 // need.
 func TestFarRequestsWaitLess(t *testing.T) {
--- a/server/coordination/admission/gate.go
+++ b/server/coordination/admission/gate.go
@@ -44,18 +44,18 @@
 // Load is what a gate expects of the next request.
 type Load struct {
 	InUse, Queued, Slots int
-	// Wait is the time until a request that arrives now would start, Service how long one of its class takes.
+	// Wait is the time until a request that arrives now would start, Service how long one of its kind takes.
 	Wait, Service time.Duration
 }
 
-// Load returns the load for a class of requests.
-func (g *Gate) Load(class int) Load {
+// Load returns the load for a kind of requests.
+func (g *Gate) Load(kind uint32) Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	return Load{
 		InUse: g.state.InUse(), Queued: g.state.Queued(), Slots: g.state.Slots(now),
-		Wait: g.state.Wait(now), Service: g.state.ClassTime(class),
+		Wait: g.state.Wait(now), Service: g.state.KindTime(kind),
 	}
 }
 
@@ -72,7 +72,7 @@
 // Slot is held by one request.
 type Slot struct {
 	gate    *Gate
-	class   int
+	kind    uint32
 	started time.Time
 	// released is guarded by the lock of the gate.
 	released bool
@@ -90,7 +90,7 @@
 	s.released = true
 	now := time.Now()
 	if ran {
-		g.state.Observe(now.Sub(s.started), s.class)
+		g.state.Observe(now.Sub(s.started), s.kind)
 	}
 	g.apply(g.state.Free(now))
 }
@@ -106,7 +106,7 @@
 		return nil, reason
 	}
 	if turn == nil {
-		return g.slot(a.Class), outcome.ReasonNone
+		return g.slot(a.Kind), outcome.ReasonNone
 	}
 	timer := time.NewTimer(time.Until(a.Deadline))
 	defer timer.Stop()
@@ -120,7 +120,7 @@
 	if reason != outcome.ReasonNone {
 		return nil, reason
 	}
-	return g.slot(a.Class), outcome.ReasonNone
+	return g.slot(a.Kind), outcome.ReasonNone
 }
 
 // arrive returns a channel if the request is queued.
@@ -152,8 +152,8 @@
 	return reason
 }
 
-func (g *Gate) slot(class int) *Slot {
-	return &Slot{gate: g, class: class, started: time.Now()}
+func (g *Gate) slot(kind uint32) *Slot {
+	return &Slot{gate: g, kind: kind, started: time.Now()}
 }
 
 // apply wakes the requests that were settled.
--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -188,6 +188,14 @@
 	v.ByService["s"] = v.ByService["s"][:2]
 	result := newHandler(newMesh(func(string) behaviour { return full }), v, 1).Do(t.Context(), &Request{ID: "q", Host: "h", Path: "/w/1"})
 	assert.Equal(t, result.Reason, outcome.ReasonQueueFull)
+	for _, e := range v.ByService["s"] {
+		e.FailureDomain = "elsewhere"
+	}
+	h := newHandler(newMesh(func(string) behaviour { return full }), v, 1)
+	for range 3 {
+		result = h.Do(t.Context(), &Request{ID: "q", Host: "h", Path: "/w/1"})
+	}
+	assert.Equal(t, result.Reason, outcome.ReasonQueueFull, "targets that are not asked again are full, not gone")
 	v.ByService["s"] = nil
 	result = newHandler(newMesh(script()), v, 1).Do(t.Context(), &Request{ID: "q", Host: "h", Path: "/w/1"})
 	assert.Equal(t, result.Reason, outcome.ReasonNoTarget)
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -8,10 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/view"
 )
 
@@ -108,12 +111,16 @@
 			RequestID:     r.ID,
 			CallerService: h.deps.CallerService(),
 			Priority:      int(route.Priority),
+			Kind:          kindOf(route),
 		},
 	}
 	trace.Service = j.service
 	return j.run(ctx)
 }
 
+// kindOf tells requests of different routes apart at their targets.
+func kindOf(route *config.Route) uint32 { return uint32(xxhash.Sum64String(route.Name)) }
+
 // viewNow returns the view in force and adapts what depends on the members.
 func (h *Handler) viewNow() *view.View {
 	v := h.deps.View()
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -71,15 +71,20 @@
 
 // choose returns the next target, or nil if there is none that the request was not offered to.
 func (j *job) choose() *endpoint.Entry {
+	candidates := j.h.candidates(j.view, j.service)
 	target := routing.Cheapest(&routing.Choice{
-		Candidates: j.h.candidates(j.view, j.service),
-		Stat:       j.h.tracker.Stat,
+		Candidates: candidates,
+		Stat:       func(node string) routing.Stat { return j.h.tracker.StatOf(node, j.request.Kind) },
 		Exclude:    j.tried,
 		Place:      j.h.settings.Place,
 		NowMS:      time.Now().UnixMilli(),
 		Settings:   j.h.settings.Routing,
 		Random:     j.h.deps.Random,
-	}, routing.Demand{Class: j.request.Priority, Bytes: j.h.sizes.expected(j.trace.Route)}, j.h.settings.Weights, j.h.settings.Node)
+	}, routing.Demand{Bytes: j.h.sizes.expected(j.trace.Route)}, j.h.settings.Weights, j.h.settings.Node)
+	if target == nil && len(candidates) > 0 && j.lastRefusal == outcome.ReasonNoTarget {
+		// Every candidate counts as full.
+		j.lastRefusal = outcome.ReasonQueueFull
+	}
 	return target
 }
 
@@ -94,9 +99,11 @@
 	var report *routing.Report
 	if reported {
 		report = &routing.Report{
-			InUse: response.InUse, Queued: response.Queued, Class: j.request.Priority,
+			InUse: response.InUse, Queued: response.Queued, Kind: j.request.Kind,
 			Service: time.Duration(response.ServiceMS) * time.Millisecond,
 			Shed:    response.Reason == outcome.ReasonTargetFull,
+			Full:    response.Reason == outcome.ReasonQueueFull,
+			Wait:    time.Duration(response.WaitMS) * time.Millisecond,
 		}
 	}
 	result := routing.ResultOf(response.Outcome, response.Reason, response.Status)
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -229,18 +229,18 @@
 		reason = e.enter(r)
 	}
 	if reason != outcome.ReasonNone {
-		return e.observe(r, e.count(refused(reason), r.Priority))
+		return e.observe(r, e.count(refused(reason), r.Kind))
 	}
 	defer e.leave()
 	deadline := time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer e.attempts.add(r.From, r.ID, cancel)()
-	return e.observe(r, e.count(e.admit(ctx, r, deadline), r.Priority))
+	return e.observe(r, e.count(e.admit(ctx, r, deadline), r.Kind))
 }
 
 // count counts a response and adds the load of the node to a copy of it.
-func (e *Executor) count(r *wire.Response, class int) *wire.Response {
+func (e *Executor) count(r *wire.Response, kind uint32) *wire.Response {
 	switch r.Outcome {
 	case outcome.Answered:
 		e.Counters.Answered.Add(1)
@@ -253,7 +253,7 @@
 		e.Counters.Cancelled.Add(1)
 	}
 	loaded := *r
-	load := e.Gate.Load(class)
+	load := e.Gate.Load(kind)
 	loaded.InUse = load.InUse
 	loaded.Queued = load.Queued
 	loaded.Slots = load.Slots
@@ -298,7 +298,7 @@
 
 // arrival describes a request to the gate.
 func arrival(r *wire.Request, deadline time.Time) admission.Arrival {
-	a := admission.Arrival{Deadline: deadline, Class: r.Priority, Far: r.Far}
+	a := admission.Arrival{Deadline: deadline, Kind: r.Kind, Far: r.Far}
 	if r.ObjectiveMS > 0 {
 		a.Due = deadline.Add(time.Duration(r.ObjectiveMS-r.TimeoutMS) * time.Millisecond)
 	}
--- a/server/coordination/routing/choose.go
+++ b/server/coordination/routing/choose.go
@@ -44,9 +44,6 @@
 	}
 }
 
-// classes is the number of kinds of requests whose service times are told apart.
-const classes = 8
-
 // Stat is what this node observed of another one. Times are Unix milliseconds.
 type Stat struct {
 	// Outstanding are this node's requests without a response.
@@ -56,8 +53,12 @@
 	ReportedMS    int64
 	// Others are the requests of other nodes at the target at the time of the report.
 	Others int
-	// Service are the service times that the target's node stated, by class.
-	Service [classes]time.Duration
+	// Service is the service time that the target's node stated for the kind of request that is asked about; 0 if it
+	// stated none.
+	Service time.Duration
+	// FullUntilMS is until when the node counts as full for that kind of request, because it refused one; 0 if it does
+	// not.
+	FullUntilMS int64
 	// Faults is the moving share of attempts that failed or were shed by the target, at FaultsMS.
 	Faults   float64
 	FaultsMS int64
--- a/server/coordination/routing/score.go
+++ b/server/coordination/routing/score.go
@@ -25,8 +25,6 @@
 
 // Demand is what a request asks of its target.
 type Demand struct {
-	// Class is the kind of request by which service times are told apart.
-	Class int
 	// Bytes is the expected size of request and answer together.
 	Bytes int
 }
@@ -44,6 +42,9 @@
 // recent faults added; nil if there is none. Candidates in Exclude are left out. An ejected candidate is taken only if
 // there is no other.
 //
+// A node of another failure domain that has just refused a request of this kind as full is left out. When all domains are
+// full, each offer to another one costs bytes between them and ends in a refusal.
+//
 // It answers three load patterns: near targets are used up to the point at which a wait there is worse than the way to
 // another failure domain; slow targets get less work than fast ones; and a target that fails part of its requests while
 // its health is good gets little work without a verdict that could hit all targets at once.
@@ -55,6 +56,9 @@
 			continue
 		}
 		s := c.Stat(e.Node)
+		if c.NowMS < s.FullUntilMS && c.Place.tier(e) != tierDomain {
+			continue
+		}
 		cost := c.cost(e, s, d, w, self)
 		if !s.Usable(c.NowMS) {
 			if fallback == nil || cost < fallbackCost {
@@ -73,7 +77,7 @@
 }
 
 func (c *Choice) cost(e *endpoint.Entry, s Stat, d Demand, w Weights, self string) time.Duration {
-	service := s.service(d.Class)
+	service := s.service()
 	cold := warmth(e, c.NowMS, c.Settings.SlowStart)
 	cost := time.Duration(float64(service)/max(cold, coldShareMin)) + s.Wait(e, c.NowMS, service)
 	cost += time.Duration(s.FaultsAt(c.NowMS) * float64(faultCost))
@@ -101,15 +105,10 @@
 	return cost
 }
 
-// service returns the stated service time of a class, or that of any other class.
-func (s Stat) service(class int) time.Duration {
-	if t := s.Service[min(max(class, 0), len(s.Service)-1)]; t > 0 {
-		return t
-	}
-	for _, t := range s.Service {
-		if t > 0 {
-			return t
-		}
+// service returns the stated service time, or a low one if none was stated.
+func (s Stat) service() time.Duration {
+	if s.Service > 0 {
+		return s.Service
 	}
 	return unknownService
 }
--- a/server/coordination/routing/score_test.go
+++ b/server/coordination/routing/score_test.go
@@ -27,9 +27,7 @@
 }
 
 func loaded(outstanding int, service time.Duration) Stat {
-	s := Stat{Outstanding: outstanding, ReportedMS: scoreNow}
-	s.Service[0] = service
-	return s
+	return Stat{Outstanding: outstanding, ReportedMS: scoreNow, Service: service}
 }
 
 // Guards against requests that cross failure domains while there is room nearby, that stay in a queue which takes
@@ -74,6 +72,39 @@
 	assert.Assert(t, Cheapest(none, Demand{}, weights, "self") == nil)
 }
 
+// Guards against offers to full targets of other failure domains, of which each costs bytes between them and ends in a
+// refusal, and against targets that are not asked again after the load has gone.
+func TestFullTargetsElsewhereAreNotAsked(t *testing.T) {
+	const kind, other = uint32(1), uint32(2)
+	tracker := NewTracker(DefaultSettings())
+	refuse := func(node string, wait time.Duration) {
+		report := &Report{InUse: 18, Queued: 20, Kind: kind, Service: 100 * time.Millisecond, Full: true, Wait: wait}
+		tracker.EndReported(tracker.Begin(node, scoreNow), Succeeded, report, scoreNow)
+	}
+	for _, node := range []string{"self", "near", "far"} {
+		refuse(node, 100*time.Millisecond)
+	}
+	choose := func(kind uint32, after time.Duration, exclude ...string) string {
+		choice := scoreChoice(nil)
+		choice.Stat = func(node string) Stat { return tracker.StatOf(node, kind) }
+		choice.NowMS += after.Milliseconds()
+		choice.Exclude = make(map[string]bool)
+		for _, node := range exclude {
+			choice.Exclude[node] = true
+		}
+		if e := Cheapest(choice, Demand{}, Weights{}, "self"); e != nil {
+			return e.Node
+		}
+		return ""
+	}
+	assert.Assert(t, choose(kind, 0) != "far")
+	assert.Equal(t, choose(kind, 0, "self", "near"), "")
+	assert.Equal(t, choose(other, 0, "self", "near"), "far", "another kind may find room")
+	assert.Equal(t, choose(kind, 100*time.Millisecond, "self", "near"), "far")
+	refuse("far", time.Hour)
+	assert.Equal(t, choose(kind, fullMax, "self", "near"), "far", "room is looked for again in time")
+}
+
 // Guards against parts of a route that get another share of few requests than their weights say.
 func TestSplitterKeepsWeights(t *testing.T) {
 	route := &config.Route{Name: "r", Destinations: []config.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -14,28 +14,79 @@
 	settings Settings
 
 	mu      sync.Mutex
-	nodes   map[string]*Stat
+	nodes   map[string]*observed
 	dropped uint64
 }
 
 // NewTracker returns a tracker without observations.
 func NewTracker(settings Settings) *Tracker {
-	return &Tracker{settings: settings, nodes: make(map[string]*Stat)}
+	return &Tracker{settings: settings, nodes: make(map[string]*observed)}
 }
 
-// Stat returns the observations of a node.
+// observed is what is known of one node.
+type observed struct {
+	Stat
+	kinds map[uint32]kindStat
+}
+
+// kindStat is what is known of one kind of requests at a node.
+type kindStat struct {
+	service     time.Duration
+	fullUntilMS int64
+}
+
+// trackedKindsMax limits the kinds that are told apart at one node.
+const trackedKindsMax = 256
+
+// of returns the observations with those of a kind filled in. A kind that was not seen yet has the service time of some
+// other one.
+func (o *observed) of(kind uint32) Stat {
+	s := o.Stat
+	own := o.kinds[kind]
+	s.Service, s.FullUntilMS = own.service, own.fullUntilMS
+	if s.Service > 0 {
+		return s
+	}
+	for _, other := range o.kinds {
+		s.Service = max(s.Service, other.service)
+	}
+	return s
+}
+
+// note keeps what a node stated of a kind.
+func (o *observed) note(kind uint32, next kindStat) {
+	if _, known := o.kinds[kind]; !known && len(o.kinds) >= trackedKindsMax {
+		return
+	}
+	if o.kinds == nil {
+		o.kinds = make(map[uint32]kindStat)
+	}
+	o.kinds[kind] = next
+}
+
+// Stat returns the observations of a node without those of any kind of requests.
 func (t *Tracker) Stat(node string) Stat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.nodes[node]; s != nil {
-		return *s
+	if o := t.nodes[node]; o != nil {
+		return o.Stat
+	}
+	return Stat{}
+}
+
+// StatOf returns the observations of a node for a kind of requests.
+func (t *Tracker) StatOf(node string, kind uint32) Stat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.nodes[node]; o != nil {
+		return o.of(kind)
 	}
 	return Stat{}
 }
 
 // Attempt is one request that a Tracker counts as outstanding.
 type Attempt struct {
-	stat  *Stat
+	stat  *observed
 	probe bool
 }
 
@@ -50,7 +101,7 @@
 			t.dropped++
 			return Attempt{}
 		}
-		s = &Stat{}
+		s = &observed{}
 		t.nodes[node] = s
 	}
 	s.Outstanding++
@@ -82,23 +133,42 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := Observe(*a.stat, result, a.probe, nowMS, t.settings)
+	next := Observe(a.stat.Stat, result, a.probe, nowMS, t.settings)
 	if inUse >= 0 {
 		next.InUse = inUse
 		next.Queued = queued
 		next.ReportedMS = nowMS
 	}
-	*a.stat = next
+	a.stat.Stat = next
 }
 
 // Report is what a target's node stated with an answer.
 type Report struct {
 	InUse, Queued int
-	// Class is the kind of the request, Service the service time of that kind; 0 if it is not known.
-	Class   int
+	// Kind is the kind of the request, Service the service time of that kind; 0 if it is not known.
+	Kind    uint32
 	Service time.Duration
 	// Shed is true if the target refused the request.
 	Shed bool
+	// Full is true if the target's node refused the request because too many wait there, Wait the time until one that
+	// arrives now would start.
+	Full bool
+	Wait time.Duration
+}
+
+const (
+	// fullMin and fullMax bound the time for which a node that refused a request counts as full for its kind. Below the
+	// least, the question costs more than the answer is worth; beyond the most, slots could stay empty unnoticed.
+	fullMin = 50 * time.Millisecond
+	fullMax = 250 * time.Millisecond
+)
+
+// fullUntilMS returns until when a node counts as full after a report.
+func (r *Report) fullUntilMS(nowMS int64) int64 {
+	if !r.Full {
+		return 0
+	}
+	return nowMS + min(max(r.Wait, fullMin), fullMax).Milliseconds()
 }
 
 // faultWeight is the share of a new attempt in Stat.Faults.
@@ -121,7 +191,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next := Observe(*a.stat, result, a.probe, nowMS, t.settings)
+	next := Observe(a.stat.Stat, result, a.probe, nowMS, t.settings)
 	fault := 0.0
 	if result == Failed || (report != nil && report.Shed) {
 		fault = 1
@@ -136,11 +206,13 @@
 		next.Queued = report.Queued
 		next.ReportedMS = nowMS
 		next.Others = max(report.InUse+report.Queued-next.Outstanding, 0)
-		if report.Service > 0 {
-			next.Service[min(max(report.Class, 0), classes-1)] = report.Service
+		own := kindStat{service: report.Service, fullUntilMS: report.fullUntilMS(nowMS)}
+		if own.service == 0 {
+			own.service = a.stat.kinds[report.Kind].service
 		}
+		a.stat.note(report.Kind, own)
 	}
-	*a.stat = next
+	a.stat.Stat = next
 }
 
 // Observe returns the observations after an attempt ended. EjectFailures consecutive failures eject; a failed
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -136,6 +136,8 @@
 	Far bool
 	// Priority is the rank of the request at a full target, 0 first.
 	Priority int
+	// Kind tells requests of different routes apart, whose service times differ.
+	Kind uint32
 	// ObjectiveMS is the time that remains until an answer is late, in milliseconds; 0 or less if it is late already.
 	ObjectiveMS int64
 }
