Divide the slots of a target over kinds of requests by priority

The wait that an order was admitted by did not count the requests that would overtake it.

Each kind has its own queue. A free slot goes to the kind that holds the fewest slots for its weight, a third for each rank of priority and at least a sixth. The wait is estimated from the slots that the kind can count on. A refused kind is admitted again at three quarters of the wait that it can bear, so that calls which one running request makes together are not split. Requests may wait a fifth of their slack also at targets so slow that the reserve exceeds the objective.

What is worth most is served first, and nothing is starved.

--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -1,5 +1,5 @@
 // Package admission decides which request may run at the target beside the node: slots shared by all senders, a
-// short queue in order of arrival, slow start of a cold target, and exclusive runs of suspects.
+// short queue for each kind of requests, slow start of a cold target, and exclusive runs of suspects.
 //
 // State holds the pure decisions; Gate makes them available to concurrent requests.
 package admission
@@ -15,7 +15,7 @@
 type Settings struct {
 	// Slots is the number of requests that run at a time, unless the target announced another number.
 	Slots int
-	// Queue is the number of requests that may wait for a slot.
+	// Queue is the number of requests of one kind that may wait for a slot.
 	Queue int
 	// ExclusiveQueue is the number of suspects that may wait to run alone; 0 means DefaultExclusiveQueue.
 	ExclusiveQueue int
@@ -61,12 +61,14 @@
 	Deadline time.Time
 	// Exclusive requests run alone.
 	Exclusive bool
-	// Kind tells requests of different routes apart. Each kind has its own estimate of the service time.
+	// Kind tells requests of different routes apart. Each kind has its own queue and estimate of the service time.
 	Kind uint32
+	// Priority is the rank of the kind, 0 first.
+	Priority int
 	// Far is true if the request comes from another failure domain.
 	Far bool
-	// Due is when its answer is late; zero if it is never late before the deadline. Requests with a due time start in
-	// the order of these times and are refused when they would be late, the others start in the order of arrival.
+	// Due is when its answer is late; zero if it is never late before the deadline. Requests of a kind with a due time
+	// start in the order of these times and are refused when they would be late, the others start in the order of arrival.
 	Due time.Time
 }
 
@@ -83,8 +85,8 @@
 	settings Settings
 	slots    int
 	started  time.Time
-	// normal and exclusive are in order of arrival.
-	normal    []waiter
+	normal   queues
+	// exclusive is in order of arrival.
 	exclusive []waiter
 	inUse     int
 	// alone is true while a suspect runs.
@@ -133,7 +135,7 @@
 func (s *State) InUse() int { return s.inUse }
 
 // Queued returns the number of requests that wait.
-func (s *State) Queued() int { return len(s.normal) + len(s.exclusive) }
+func (s *State) Queued() int { return s.normal.waiting() + len(s.exclusive) }
 
 // ServiceTime returns the moving mean of the time for which requests held a slot; 0 before the first one ended.
 func (s *State) ServiceTime() time.Duration { return s.times.all.mean }
@@ -152,65 +154,74 @@
 	if a.Exclusive {
 		return s.arriveExclusive(now, a.ID, a.Deadline)
 	}
-	if len(s.normal) == 0 && !s.closed() && s.inUse < s.Slots(now) {
-		s.inUse++
+	q := s.normal.of(a.Kind, a.Priority)
+	defer s.normal.prune()
+	if s.isFree(now) {
+		s.start(q)
 		return Granted, outcome.ReasonNone
 	}
-	if len(s.normal) >= s.settings.Queue {
+	if len(q.waiting) >= s.settings.Queue {
 		return Refused, outcome.ReasonQueueFull
 	}
 	w := waiter{id: a.ID, deadline: a.Deadline, due: a.Due, kind: a.Kind}
-	at := s.place(w)
-	start := now.Add(s.wait(now, at))
-	if start.After(a.Deadline) {
+	at := q.place(w)
+	wait := s.wait(now, q, at)
+	if now.Add(wait).After(a.Deadline) {
 		return Refused, outcome.ReasonDeadline
 	}
-	if !a.Due.IsZero() && start.Add(s.reserve(a)).After(a.Due) {
+	if !a.Due.IsZero() && !q.admits(wait, s.patience(now, a), a.Far) {
 		return Refused, outcome.ReasonQueueFull
 	}
-	s.normal = slices.Insert(s.normal, at, w)
+	q.waiting = slices.Insert(q.waiting, at, w)
 	return Queued, outcome.ReasonNone
 }
 
+// isFree reports whether a request that arrives now starts at once.
+func (s *State) isFree(now time.Time) bool {
+	return s.normal.waiting() == 0 && !s.closed() && s.inUse < s.Slots(now)
+}
+
+func (s *State) start(q *kindQueue) {
+	s.inUse++
+	q.inUse++
+}
+
 const (
 	// dueReserve is the number of mean deviations beyond the mean service time that are kept free before the due time.
 	// With the mean alone half of the requests that wait would be late.
-	dueReserve = 1.1
+	dueReserve = 1.6
 	// farReserve is the same for a request from another failure domain. When all are full, each serves its own callers
 	// first, which sends fewer bytes between them for the same number of answers.
 	farReserve = 2.2
+	// waitShare is the part of the time beyond the mean service time that a request of the own failure domain may wait
+	// in any case. Where the reserve is longer than the objective, as at a slow target, a short wait costs little more.
+	waitShare = 0.2
 )
 
-// reserve returns the time that must remain between the start of a request and its due time.
-func (s *State) reserve(a Arrival) time.Duration {
-	deviations := dueReserve
+// patience returns how long a request with a due time can wait for its start.
+func (s *State) patience(now time.Time, a Arrival) time.Duration {
+	left := a.Due.Sub(now)
+	times := s.times.of(a.Kind)
 	if a.Far {
-		deviations = farReserve
+		return left - times.beyond(farReserve)
 	}
-	return s.times.of(a.Kind).beyond(deviations)
-}
-
-// place returns the position of a request in the queue: before the first one that is due later.
-func (s *State) place(w waiter) int {
-	if w.due.IsZero() {
-		return len(s.normal)
-	}
-	at := slices.IndexFunc(s.normal, func(other waiter) bool { return other.due.After(w.due) })
-	if at < 0 {
-		return len(s.normal)
-	}
-	return at
+	least := time.Duration(waitShare * float64(left-times.mean))
+	return max(left-times.beyond(dueReserve), least)
 }
 
 // KindTime returns the estimate of the service time of a kind: its own moving mean, or that of all requests.
 func (s *State) KindTime(kind uint32) time.Duration { return s.times.of(kind).mean }
 
-// Wait returns the time after which a request that arrives now would start.
-func (s *State) Wait(now time.Time) time.Duration {
-	if len(s.normal) == 0 && !s.closed() && s.inUse < s.Slots(now) {
+// Wait returns the time after which a request of a kind that arrives now would start.
+func (s *State) Wait(now time.Time, kind uint32) time.Duration {
+	if s.isFree(now) {
 		return 0
 	}
-	return s.wait(now, len(s.normal))
+	q := s.normal.find(kind)
+	if q == nil {
+		q = &kindQueue{kind: kind, weight: lowestShare}
+	}
+	return s.wait(now, q, len(q.waiting))
 }
 
 func (s *State) arriveExclusive(now time.Time, id uint64, deadline time.Time) (Verdict, outcome.Reason) {
@@ -226,10 +237,11 @@
 	return Queued, outcome.ReasonNone
 }
 
-// wait estimates the time until a request with the given number of waiting requests before it starts: one request
-// ends every mean service time / slots.
-func (s *State) wait(now time.Time, before int) time.Duration {
-	return s.times.all.mean * time.Duration(before+1) / time.Duration(s.Slots(now))
+// wait estimates the time until a request with the given number of waiting requests of its kind before it starts: with
+// the slots that the kind can count on, one of them ends every mean service time / slots.
+func (s *State) wait(now time.Time, q *kindQueue, before int) time.Duration {
+	slots := s.normal.slotsOf(q, s.Slots(now))
+	return time.Duration(float64(s.KindTime(q.kind)) * float64(before+1) / slots)
 }
 
 // closed reports whether slots stay empty for a suspect.
@@ -250,18 +262,21 @@
 
 // giveTurn lets the requests that wait now start before the next suspect may stop the others.
 func (s *State) giveTurn() {
-	s.turn = len(s.normal)
+	s.turn = s.normal.waiting()
 }
 
 // Finish ends a request that was granted at started.
 func (s *State) Finish(now, started time.Time) []Action {
 	s.Observe(now.Sub(started), 0)
-	return s.Free(now)
+	return s.Free(now, 0)
 }
 
-// Free gives a slot back.
-func (s *State) Free(now time.Time) []Action {
+// Free gives the slot of a request of a kind back.
+func (s *State) Free(now time.Time, kind uint32) []Action {
 	s.inUse--
+	if q := s.normal.find(kind); q != nil && q.inUse > 0 {
+		q.inUse--
+	}
 	if s.alone {
 		s.alone = false
 		s.giveTurn()
@@ -275,7 +290,9 @@
 // Abandon removes a queued request that is no longer wanted. It is no error if the request is not queued.
 func (s *State) Abandon(now time.Time, id uint64) []Action {
 	same := func(w waiter) bool { return w.id == id }
-	s.normal = slices.DeleteFunc(s.normal, same)
+	for _, q := range s.normal.kinds {
+		q.waiting = slices.DeleteFunc(q.waiting, same)
+	}
 	if i := slices.IndexFunc(s.exclusive, same); i >= 0 {
 		s.exclusive = slices.Delete(s.exclusive, i, i+1)
 		s.unblock()
@@ -303,15 +320,18 @@
 // settle refuses what is late and grants what fits, until nothing more can start.
 func (s *State) settle(now time.Time) []Action {
 	s.actions = s.actions[:0]
-	s.normal = s.dropLate(now, s.normal)
-	s.dropHopeless(now)
+	for _, q := range s.normal.kinds {
+		q.waiting = s.dropLate(now, q.waiting)
+		s.dropHopeless(now, q)
+	}
 	s.exclusive = s.dropLate(now, s.exclusive)
-	s.turn = min(s.turn, len(s.normal))
+	s.turn = min(s.turn, s.normal.waiting())
 	s.unblock()
 	s.refuseOverdue(now)
 	s.grantNormal(now)
 	s.block(now)
 	s.grantExclusive()
+	s.normal.prune()
 	return s.actions
 }
 
@@ -331,18 +351,18 @@
 
 // dropHopeless refuses requests that would be late although others wait that would not: the work would bring less than
 // the same work for the next one.
-func (s *State) dropHopeless(now time.Time) {
+func (s *State) dropHopeless(now time.Time, q *kindQueue) {
 	if s.inUse >= s.Slots(now) {
 		return
 	}
-	for len(s.normal) > 1 {
-		w := s.normal[0]
+	for len(q.waiting) > 0 && s.normal.waiting() > 1 {
+		w := q.waiting[0]
 		needed := time.Duration(hopelessShare * float64(s.KindTime(w.kind)))
 		if w.due.IsZero() || !now.Add(needed).After(w.due) {
 			return
 		}
 		s.actions = append(s.actions, Action{ID: w.id, Reason: outcome.ReasonQueueFull})
-		s.normal = slices.Delete(s.normal, 0, 1)
+		q.waiting = slices.Delete(q.waiting, 0, 1)
 	}
 }
 
@@ -358,10 +378,14 @@
 }
 
 func (s *State) grantNormal(now time.Time) {
-	for len(s.normal) > 0 && !s.closed() && s.inUse < s.Slots(now) {
-		s.actions = append(s.actions, Action{ID: s.normal[0].id})
-		s.normal = slices.Delete(s.normal, 0, 1)
-		s.inUse++
+	for !s.closed() && s.inUse < s.Slots(now) {
+		q := s.normal.next()
+		if q == nil {
+			return
+		}
+		s.actions = append(s.actions, Action{ID: q.waiting[0].id})
+		q.waiting = slices.Delete(q.waiting, 0, 1)
+		s.start(q)
 		s.turn = max(s.turn-1, 0)
 		s.block(now)
 	}
--- a/server/coordination/admission/gate.go
+++ b/server/coordination/admission/gate.go
@@ -55,7 +55,7 @@
 	now := time.Now()
 	return Load{
 		InUse: g.state.InUse(), Queued: g.state.Queued(), Slots: g.state.Slots(now),
-		Wait: g.state.Wait(now), Service: g.state.KindTime(kind),
+		Wait: g.state.Wait(now, kind), Service: g.state.KindTime(kind),
 	}
 }
 
@@ -92,7 +92,7 @@
 	if ran {
 		g.state.Observe(now.Sub(s.started), s.kind)
 	}
-	g.apply(g.state.Free(now))
+	g.apply(g.state.Free(now, s.kind))
 }
 
 // EnterAs waits for a slot until the deadline or the end of ctx, and returns it or the reason of the refusal. The gate
--- /dev/null
+++ b/server/coordination/admission/replay_test.go
@@ -0,0 +1,230 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/protocol/outcome"
+)
+
+// flow is a stream of requests of one kind at a replayed target.
+type flow struct {
+	kind     uint32
+	priority int
+	// load is the part of the slots that the flow would use.
+	load      float64
+	mean      time.Duration
+	spread    float64
+	objective time.Duration
+	deadline  time.Duration
+	// together is the number of requests that arrive at once and are of use only if all are served.
+	together int
+	// patient requests have no due time.
+	patient bool
+}
+
+// tally counts what became of the requests of a flow.
+type tally struct {
+	offered, inTime, late int
+	// groups are the groups of requests that arrived together, whole and split those served as a whole and in part.
+	groups, whole, split int
+}
+
+func (t tally) share() float64 { return float64(t.inTime) / float64(t.offered) }
+
+const replaySlots = 18
+
+// replay plays 30 s of virtual time at one target.
+type replay struct {
+	random  *rand.Rand
+	now     time.Time
+	state   *State
+	active  []running
+	queued  map[uint64]request
+	served  map[int]int
+	tallies []tally
+	lastID  uint64
+	group   int
+}
+
+type request struct {
+	flow, group int
+	kind        uint32
+	arrived     time.Time
+}
+
+type running struct {
+	request
+	started, ends time.Time
+}
+
+// play runs the flows and returns what became of each.
+func play(seed uint64, flows []flow) []tally {
+	r := &replay{
+		random: rand.New(rand.NewPCG(seed, 7)), now: time.UnixMilli(1_800_000_000_000),
+		state: New(Settings{Slots: replaySlots, Queue: 300}), queued: make(map[uint64]request),
+		served: make(map[int]int), tallies: make([]tally, len(flows)),
+	}
+	end := r.now.Add(30 * time.Second)
+	next := make([]time.Time, len(flows))
+	for i := range flows {
+		next[i] = r.now.Add(r.gap(&flows[i]))
+	}
+	groups := make(map[int]int)
+	for r.now.Before(end) {
+		first := 0
+		for i := range next {
+			if next[i].Before(next[first]) {
+				first = i
+			}
+		}
+		if done := r.nextEnd(); done >= 0 && r.active[done].ends.Before(next[first]) {
+			r.finish(done, flows)
+			continue
+		}
+		r.now = next[first]
+		next[first] = r.now.Add(r.gap(&flows[first]))
+		r.group++
+		groups[r.group] = first
+		for range max(1, flows[first].together) {
+			r.arrive(first, &flows[first])
+		}
+	}
+	for group, i := range groups {
+		r.tallies[i].groups++
+		switch r.served[group] {
+		case 0:
+		case max(1, flows[i].together):
+			r.tallies[i].whole++
+		default:
+			r.tallies[i].split++
+		}
+	}
+	return r.tallies
+}
+
+func (r *replay) gap(f *flow) time.Duration {
+	between := float64(f.mean) * float64(max(1, f.together)) / (f.load * replaySlots)
+	return time.Duration(r.random.ExpFloat64() * between)
+}
+
+func (r *replay) nextEnd() int {
+	first := -1
+	for i := range r.active {
+		if first < 0 || r.active[i].ends.Before(r.active[first].ends) {
+			first = i
+		}
+	}
+	return first
+}
+
+func (r *replay) arrive(i int, f *flow) {
+	r.lastID++
+	r.tallies[i].offered++
+	a := Arrival{ID: r.lastID, Deadline: r.now.Add(f.deadline), Kind: f.kind, Priority: f.priority}
+	if !f.patient {
+		a.Due = r.now.Add(f.objective)
+	}
+	q := request{flow: i, group: r.group, kind: f.kind, arrived: r.now}
+	switch verdict, _ := r.state.Admit(r.now, a); verdict {
+	case Granted:
+		r.start(q, f)
+	case Queued:
+		r.queued[r.lastID] = q
+	}
+}
+
+// start draws a service time with a long tail whose mean is that of the flow.
+func (r *replay) start(q request, f *flow) {
+	factor := math.Exp(f.spread*r.random.NormFloat64() - f.spread*f.spread/2)
+	r.served[q.group]++
+	r.active = append(r.active, running{q, r.now, r.now.Add(time.Duration(factor * float64(f.mean)))})
+}
+
+func (r *replay) finish(at int, flows []flow) {
+	done := r.active[at]
+	r.active = slices.Delete(r.active, at, at+1)
+	r.now = done.ends
+	if r.now.Sub(done.arrived) <= flows[done.flow].objective {
+		r.tallies[done.flow].inTime++
+	} else {
+		r.tallies[done.flow].late++
+	}
+	r.state.Observe(done.ends.Sub(done.started), done.kind)
+	for _, a := range slices.Clone(r.state.Free(r.now, done.kind)) {
+		q := r.queued[a.ID]
+		delete(r.queued, a.ID)
+		if a.Reason == outcome.ReasonNone {
+			r.start(q, &flows[q.flow])
+		}
+	}
+}
+
+// Guards against lost answers in time when more requests come than the slots can serve: admission by due time against
+// a queue that is bounded by the deadline alone, with the same arrivals.
+func TestOverloadInTime(t *testing.T) {
+	f := flow{load: 1.3, mean: 200 * time.Millisecond, spread: 0.8, objective: 500 * time.Millisecond, deadline: 2500 * time.Millisecond}
+	patient := f
+	patient.patient = true
+	for seed := range uint64(5) {
+		byDue := play(seed, []flow{f})[0]
+		byDeadline := play(seed, []flow{patient})[0]
+		t.Logf("seed %d: %.3f in time by due time, %.3f by deadline", seed, byDue.share(), byDeadline.share())
+		assert.Assert(t, byDue.inTime > 2*byDeadline.inTime, "seed %d: %d against %d", seed, byDue.inTime, byDeadline.inTime)
+	}
+}
+
+// orders and lookups are the load of a service that lost two of its three targets: urgent orders, and lookups that
+// running requests of another service make in pairs, which are due sooner.
+func ordersAndLookups() []flow {
+	return []flow{
+		{kind: 1, priority: 0, load: 0.9, mean: 150 * time.Millisecond, spread: 0.3, objective: 500 * time.Millisecond, deadline: time.Second},
+		{kind: 2, priority: 2, load: 1.2, mean: 55 * time.Millisecond, spread: 0.5, objective: 200 * time.Millisecond, deadline: 600 * time.Millisecond, together: 2},
+	}
+}
+
+// Guards against urgent requests that wait behind less urgent ones which are due sooner, until both are late, and against
+// less urgent ones that are starved: one queue for each kind against one by due time for all.
+func TestUrgentKindAtReducedService(t *testing.T) {
+	for seed := range uint64(5) {
+		flows := ordersAndLookups()
+		byKind := play(seed, flows)
+		flows[0].kind, flows[1].kind, flows[1].priority = 1, 1, 0
+		byDue := play(seed, flows)
+		t.Logf("seed %d: orders %.3f, lookups %.3f in time by kind; %.3f, %.3f by due time", seed,
+			byKind[0].share(), byKind[1].share(), byDue[0].share(), byDue[1].share())
+		assert.Assert(t, byKind[0].share() > 0.8, "seed %d: %.3f", seed, byKind[0].share())
+		assert.Assert(t, byKind[0].share() > byDue[0].share()+0.2, "seed %d: %.3f against %.3f", seed, byKind[0].share(), byDue[0].share())
+		all := float64(byKind[0].inTime+byKind[1].inTime) / float64(byKind[0].offered+byKind[1].offered)
+		assert.Assert(t, byKind[1].share() > all/4, "seed %d: lookups %.3f, all %.3f", seed, byKind[1].share(), all)
+	}
+}
+
+// Guards against calls of one running request of which some are served and others refused, so that the request fails
+// after its work was done.
+func TestCallsThatBelongTogether(t *testing.T) {
+	for seed := range uint64(5) {
+		f := flow{kind: 1, load: 1.6, mean: 55 * time.Millisecond, spread: 0.5, objective: 200 * time.Millisecond, deadline: 600 * time.Millisecond, together: 2}
+		got := play(seed, []flow{f})[0]
+		t.Logf("seed %d: %d of %d pairs whole, %d split", seed, got.whole, got.groups, got.split)
+		assert.Assert(t, got.split < got.whole/5, "seed %d: %d whole, %d split", seed, got.whole, got.split)
+	}
+}
+
+// Guards against a kind that is refused for good after a caller returned with little time left.
+func TestImpatientCallerClosesNothing(t *testing.T) {
+	q := &kindQueue{}
+	const wait, usual = 50 * time.Millisecond, 100 * time.Millisecond
+	assert.Assert(t, q.admits(wait, usual, false))
+	assert.Assert(t, !q.admits(wait, wait/2, false))
+	assert.Assert(t, q.admits(90*time.Millisecond, usual, false), "the others may wait as long as before")
+	assert.Assert(t, !q.admits(110*time.Millisecond, usual, false))
+	assert.Assert(t, !q.admits(90*time.Millisecond, usual, false))
+	assert.Assert(t, q.admits(70*time.Millisecond, usual, false))
+	assert.Assert(t, q.admits(90*time.Millisecond, usual, false))
+}
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -298,7 +298,7 @@
 
 // arrival describes a request to the gate.
 func arrival(r *wire.Request, deadline time.Time) admission.Arrival {
-	a := admission.Arrival{Deadline: deadline, Kind: r.Kind, Far: r.Far}
+	a := admission.Arrival{Deadline: deadline, Kind: r.Kind, Priority: r.Priority, Far: r.Far}
 	if r.ObjectiveMS > 0 {
 		a.Due = deadline.Add(time.Duration(r.ObjectiveMS-r.TimeoutMS) * time.Millisecond)
 	}
