Bring a large fleet back sooner after all of its machines lost power

Logs show that each node read the newest configuration itself, 640 KB in base64, which takes a second on such a link; the read was given up after 0.8 s and begun again. Eight nodes with links of 100 Mbit/s succeeded, and kept the state from nodes that read the store themselves for another 0.8 s. Nodes looked for each other in random order, so many small groups formed first.

Ruled out: the store (its 80 MB/s are used for 0.7 s), the processor (0.7% of a core), the targets' reports (all within 0.3 s of the start).

A node without any configuration gets it from its peers at once. Nodes of the directory are asked in the order of the followers of the own failure domain; records carry the domain and the bandwidth of the link. Nodes with wide links come first as followers and relays (setting node.link, filled in by the platform).

TestSourceGrace stated that a node which reads the source gets nothing from a peer for 0.8 s; it now says so for a node that has an older configuration, and that one which has none gets it at once.

--- a/server/coordination/control/grace_test.go
+++ b/server/coordination/control/grace_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against a whole configuration that is sent to every node although each reads it itself, and against nodes that
-// don't read it and have to wait.
+// don't read it, or have none yet, and have to wait.
 func TestSourceGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		loop := New(Settings{
@@ -24,15 +24,16 @@
 		}, endpoint.Entry{Node: "n1", FailureDomain: "d"})
 		go loop.Run(t.Context())
 		assert.NilError(t, loop.InstallWhole(&config.Whole{Offset: 5, Sequence: 2, Content: config.Content{}}))
-		poll := func(reads bool) []byte {
-			reply, err := loop.HandleSync(t.Context(), &wire.SyncArgs{Node: "n2", Reads: reads})
+		poll := func(reads bool, offset uint64) []byte {
+			reply, err := loop.HandleSync(t.Context(), &wire.SyncArgs{Node: "n2", Reads: reads, Offset: offset})
 			assert.NilError(t, err)
 			return reply.Snapshot
 		}
-		assert.Equal(t, len(poll(true)), 0)
-		assert.Assert(t, len(poll(false)) > 0)
+		assert.Equal(t, len(poll(true, 3)), 0)
+		assert.Assert(t, len(poll(false, 3)) > 0)
+		assert.Assert(t, len(poll(true, 0)) > 0, "a node that has just started needs it at once")
 		time.Sleep(800 * time.Millisecond)
-		data, err := decompress(poll(true))
+		data, err := decompress(poll(true, 3))
 		assert.NilError(t, err)
 		state, err := config.DecodeSnapshot(data)
 		assert.NilError(t, err)
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -108,7 +108,7 @@
 		return
 	}
 	peer := fanout.Peer{Node: e.Node, Address: e.Address}
-	if l.settings.SourceGrace > 0 {
+	if l.settings.SourceGrace > 0 && l.state.Load().Offset() > 0 {
 		time.AfterFunc(l.settings.SourceGrace, func() { l.pullIfBehind(peer, args.Offset) })
 		return
 	}
@@ -135,19 +135,23 @@
 // hasNews reports whether something that the poller lacks has been held back long enough.
 func (l *Loop) hasNews(args *wire.SyncArgs) bool {
 	passable := l.passableOffset
-	if !args.Reads {
+	if !waitsForSource(args) {
 		passable = l.state.Load().Offset()
 	}
 	return args.Offset < passable || len(l.delta(args, l.passable).Entries) > 0
 }
 
+// waitsForSource reports whether a poller is given time to read a new state from the source itself. One that has none
+// is not: after a restart of the whole fleet the source is slow to answer all nodes.
+func waitsForSource(args *wire.SyncArgs) bool { return args.Reads && args.Offset > 0 }
+
 // fill puts everything that the poller lacks into the reply, including what is still held back: a reply proves
 // contact, so it must not lack a verdict on the poller that this node knows of.
 func (l *Loop) fill(args *wire.SyncArgs, reply *wire.SyncReply) {
 	delta := l.delta(args, l.table.Sequence())
 	reply.Entries = delta.Entries
 	reply.TableSequence = delta.Sequence
-	if !args.Reads || l.sourceGraceLeft(time.Now()) <= 0 {
+	if !waitsForSource(args) || l.sourceGraceLeft(time.Now()) <= 0 {
 		l.fillRecords(args.Offset, reply)
 	}
 }
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -152,7 +153,7 @@
 	for ctx.Err() == nil {
 		if s.sink.Alone() {
 			s.askSeeds(ctx)
-		} else if probes := s.sink.Probes(s.seedList()); len(probes) > 0 {
+		} else if probes := s.sink.Probes(s.contacts().Addresses); len(probes) > 0 {
 			s.askOnce(ctx, probes[int(s.settings.Jitter(time.Duration(len(probes))))])
 		}
 		wait := s.settings.ProbeInterval/2 + s.settings.Jitter(s.settings.ProbeInterval)
@@ -172,25 +173,30 @@
 	}
 }
 
-// askSeeds asks the seeds, from a random one on, until one answers.
+// askSeeds asks the seeds until one answers, from a random one of the first on.
 func (s *Syncer) askSeeds(ctx context.Context) {
-	seeds := s.seedList()
+	contacts := s.contacts()
+	seeds := contacts.Addresses
 	if len(seeds) == 0 {
 		return
 	}
-	first := int(s.settings.Jitter(time.Duration(len(seeds))))
+	first := cmp.Or(contacts.First, len(seeds))
+	start := int(s.settings.Jitter(time.Duration(first)))
 	for i := range seeds {
-		address := seeds[(first+i)%len(seeds)]
-		if ctx.Err() != nil || s.askOnce(ctx, Peer{Address: address}) {
+		at := i
+		if i < first {
+			at = (start + i) % first
+		}
+		if ctx.Err() != nil || s.askOnce(ctx, Peer{Address: seeds[at]}) {
 			return
 		}
 	}
 }
 
-func (s *Syncer) seedList() []string {
+func (s *Syncer) contacts() Contacts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.seeds)
+	return Contacts{Addresses: slices.Clone(s.seeds.Addresses), First: s.seeds.First}
 }
 
 // askOnce syncs once without waiting at the other end and reports whether it answered.
--- a/server/coordination/fanout/roles.go
+++ b/server/coordination/fanout/roles.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -149,7 +150,14 @@
 
 func peerOf(e *endpoint.Entry) Peer { return Peer{Node: e.Node, Address: e.Address} }
 
-// rank returns the entries in rendezvous order for a key.
+// linkTier groups links by powers of two. Nodes with a wide link come first for duties that move whole configurations: on
+// a narrow one these delay requests.
+func linkTier(e *endpoint.Entry) int { return bits.Len32(e.LinkMbps / linkTierBase) }
+
+// linkTierBase is the bandwidth in Mbit/s below which links are alike.
+const linkTierBase = 10
+
+// rank returns the entries in the order of their links, and in rendezvous order for a key among those with alike links.
 func rank(key string, entries []*endpoint.Entry) []*endpoint.Entry {
 	type weighted struct {
 		entry  *endpoint.Entry
@@ -160,7 +168,11 @@
 		list[i] = weighted{e, xxhash.Sum64String(e.Node + "\x00" + key)}
 	}
 	slices.SortFunc(list, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.entry.Node, b.entry.Node))
+		return cmp.Or(
+			cmp.Compare(linkTier(b.entry), linkTier(a.entry)),
+			cmp.Compare(b.weight, a.weight),
+			cmp.Compare(a.entry.Node, b.entry.Node),
+		)
 	})
 	ranked := make([]*endpoint.Entry, len(list))
 	for i, w := range list {
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -117,7 +117,7 @@
 	pulls    chan Peer
 
 	mu    sync.Mutex
-	seeds []string
+	seeds Contacts
 	links map[linkKey]*link
 }
 
@@ -132,7 +132,7 @@
 		settings: settings,
 		roles:    make(chan Roles, 1),
 		pulls:    make(chan Peer, 1),
-		seeds:    settings.Seeds,
+		seeds:    Contacts{Addresses: settings.Seeds},
 		links:    make(map[linkKey]*link),
 	}
 }
@@ -161,10 +161,10 @@
 }
 
 // SetSeeds replaces the addresses to ask while no other node is known.
-func (s *Syncer) SetSeeds(addresses []string) {
+func (s *Syncer) SetSeeds(contacts Contacts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seeds = addresses
+	s.seeds = contacts
 }
 
 // Run runs syncs until ctx ends and waits for them.
--- a/server/coordination/seeds/directory.go
+++ b/server/coordination/seeds/directory.go
@@ -9,7 +9,10 @@
 type Record struct {
 	Node string `json:"node"`
 	// Address is the peer address as HOST:PORT.
-	Address     string `json:"address"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	// LinkMbps is the bandwidth of the node's link in Mbit/s; 0 if it is not known.
+	LinkMbps    uint32 `json:"link_mbps"`
 	Incarnation int64  `json:"incarnation"`
 	// RenewedMS is the time of the newest publication by the node's clock, Unix milliseconds.
 	RenewedMS int64 `json:"renewed_ms"`
@@ -32,9 +35,9 @@
 	RecordLife = 3*RenewInterval + time.Minute
 )
 
-// Addresses returns the addresses of other nodes in a directory, and the nodes whose records are older than
+// Current returns the records of other nodes in a directory, and the names of nodes whose records are older than
 // RecordLife.
-func Addresses(records []Record, own string, now time.Time) (addresses, expired []string) {
+func Current(records []Record, own string, now time.Time) (current []Record, expired []string) {
 	for _, r := range records {
 		if r.Node == own {
 			continue
@@ -43,7 +46,7 @@
 			expired = append(expired, r.Node)
 			continue
 		}
-		addresses = append(addresses, r.Address)
+		current = append(current, r)
 	}
-	return addresses, expired
+	return current, expired
 }
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -108,6 +108,7 @@
 		Address:       s.Listen.PeerAddress(),
 		FailureDomain: s.Node.FailureDomain,
 		Region:        s.Node.Region,
+		LinkMbps:      uint32(s.Node.LinkMbps),
 	})
 	node, relay, follower := fanout.HoldTimes(hooks.hold, s.Membership.SelfFence)
 	c.syncer = fanout.NewSyncer(c.controlPool, c.control, fanout.Settings{
--- a/server/daemon/meet.go
+++ b/server/daemon/meet.go
@@ -6,7 +6,9 @@
 
 	"github.com/apex/log"
 
+	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/seeds"
+	"wagtailford.example/server/state/endpoint"
 )
 
 const (
@@ -53,8 +55,10 @@
 	return h.platform.Directory().Publish(ctx, seeds.Record{
 		Node:        h.settings.Node.Name,
 		Address:     h.settings.Listen.PeerAddress(),
-		Incarnation: h.started.UnixNano(),
-		RenewedMS:   time.Now().UnixMilli(),
+		FailureDomain: h.settings.Node.FailureDomain,
+		LinkMbps:      uint32(h.settings.Node.LinkMbps),
+		Incarnation:   h.started.UnixNano(),
+		RenewedMS:     time.Now().UnixMilli(),
 	})
 }
 
@@ -65,9 +69,9 @@
 	if err != nil {
 		return err
 	}
-	addresses, expired := seeds.Addresses(records, h.settings.Node.Name, time.Now())
-	h.syncer.SetSeeds(append(addresses, h.settings.Node.Seeds...))
-	log.WithFields(log.Fields{"event": "directory", "nodes": len(addresses), "expired": len(expired)}).Info("nodes found")
+	current, expired := seeds.Current(records, h.settings.Node.Name, time.Now())
+	h.syncer.SetSeeds(h.contacts(current))
+	log.WithFields(log.Fields{"event": "directory", "nodes": len(current), "expired": len(expired)}).Info("nodes found")
 	for _, node := range expired {
 		if err := h.platform.Directory().Remove(ctx, node); err != nil {
 			return err
@@ -75,3 +79,16 @@
 	}
 	return nil
 }
+
+// contacts orders the nodes of the directory, with the seeds of the settings behind them.
+func (h *Hosted) contacts(records []seeds.Record) fanout.Contacts {
+	entries := make([]*endpoint.Entry, 0, len(records))
+	for _, r := range records {
+		entries = append(entries, &endpoint.Entry{
+			Node: r.Node, Address: r.Address, FailureDomain: r.FailureDomain, LinkMbps: r.LinkMbps,
+		})
+	}
+	contacts := fanout.ContactsOf(h.settings.Node.FailureDomain, entries, h.settings.Fanout.FollowersPerDomain)
+	contacts.Addresses = append(contacts.Addresses, h.settings.Node.Seeds...)
+	return contacts
+}
--- a/server/daemon/roles.go
+++ b/server/daemon/roles.go
@@ -117,7 +117,7 @@
 			addresses = append(addresses, s.Address)
 		}
 	}
-	d.syncer.SetSeeds(addresses)
+	d.syncer.SetSeeds(fanout.Contacts{Addresses: addresses})
 }
 
 // publishSeeds appends this node and a sample of the other members of its failure domain.
--- a/server/daemon/settings/key.go
+++ b/server/daemon/settings/key.go
@@ -216,6 +216,25 @@
 	}
 }
 
+// bandwidth is a number with unit Mbit/s, such as 100Mbps.
+func bandwidth(name string, field *float64, fallback string, high float64, doc string) key {
+	return key{
+		name: name, doc: doc, unit: "Mbit/s", allowed: fmt.Sprintf("0Mbps to %gMbps", high), fallback: fallback,
+		set: func(v string) error {
+			number, ok := strings.CutSuffix(v, "Mbps")
+			f, err := strconv.ParseFloat(number, 64)
+			if !ok || err != nil {
+				return fmt.Errorf("not a bandwidth such as 100Mbps")
+			}
+			if !(f >= 0 && f <= high) {
+				return fmt.Errorf("out of range")
+			}
+			*field = f
+			return nil
+		},
+	}
+}
+
 func parseSize(v string) (int64, error) {
 	parts := sizePattern.FindStringSubmatch(v)
 	if parts == nil {
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -32,6 +32,7 @@
 		choice("profile", (*string)(&n.Profile), string(ConvergenceFirst), "defaults that favour convergence time or control bytes",
 			string(ConvergenceFirst), string(BytesFirst)),
 		size("memory_limit", &n.MemoryLimit, "64MiB", 16*mib, 4096*mib, "soft memory limit of the process"),
+		bandwidth("link", &n.LinkMbps, "0Mbps", 1e6, "bandwidth of the VM's network link; nodes with a wide one read and pass on configurations; 0 if not known"),
 		duration("shutdown_timeout", &n.ShutdownTimeout, "30s", time.Second, time.Hour, "bound of a graceful shutdown"),
 	)
 }
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -46,7 +46,9 @@
 	Seeds   []string
 	Profile Profile
 	// MemoryLimit is the soft memory limit of the Go runtime in bytes.
-	MemoryLimit     int64
+	MemoryLimit int64
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s; 0 if it is not known.
+	LinkMbps        float64
 	ShutdownTimeout time.Duration
 }
 
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -68,6 +68,8 @@
 	StartedMS int64
 	// Parent is the node that this node syncs with; empty for a log follower.
 	Parent string
+	// LinkMbps is the bandwidth of the node's network link in Mbit/s; 0 if it is not known.
+	LinkMbps uint32
 	// Crashes are the crash counts that the node attributes to request digests.
 	Crashes []CrashCount
 }
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -37,8 +37,15 @@
 	// KeepAlive is the time without any bytes after which the other end of a connection is probed, and after which
 	// bytes that are not acknowledged end it; 0 leaves both to the system.
 	KeepAlive time.Duration
+	// Stall is the time without a byte after which a response that has begun is given up. With it, the timeout of a call
+	// bounds the time to the first byte, so that a large response on a narrow link is read whole. 0 lets the timeout bound
+	// the whole response.
+	Stall time.Duration
 }
 
+// stallTotalMax bounds a response with Limits.Stall beyond the timeout of its call, so that one which trickles ends.
+const stallTotalMax = 10 * time.Second
+
 const (
 	defaultConnectionsPerHost = 512
 	defaultHeaderMaxBytes     = 64 << 10
@@ -57,6 +64,9 @@
 	ErrTooLarge = errors.New("response too large")
 )
 
+// ErrStalled means that no byte of a response arrived for Limits.Stall, or none at all in time.
+var ErrStalled = errors.New("response stalled")
+
 // ErrNoConnection means that the limit of open connections to the host is reached. It is wrapped in a *NotSentError.
 var ErrNoConnection = errors.New("too many connections to the host")
 
@@ -130,12 +140,13 @@
 func (c *Client) DoSkip(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
 	timeout time.Duration, skip Skip,
 ) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, progress, cancel := c.bound(ctx, timeout)
 	defer cancel()
 	cn, err := c.pool.get(ctx, address)
 	if err != nil {
 		return &NotSentError{Cause: preferContext(ctx, err)}
 	}
+	cn.reader.progress = progress
 	stop := context.AfterFunc(ctx, cn.abort)
 	reusable, err := c.exchange(cn, req, resp, skip)
 	if !stop() {
@@ -153,10 +164,26 @@
 	return &LostError{Cause: preferContext(ctx, err)}
 }
 
-// preferContext returns the error of a context that ended, since it explains the broken connection.
+// bound limits a call. progress is called for bytes that arrived; it is nil if they do not change the limit.
+func (c *Client) bound(ctx context.Context, timeout time.Duration) (bounded context.Context, progress, cancel func()) {
+	if c.limits.Stall <= 0 {
+		bounded, stop := context.WithTimeout(ctx, timeout)
+		return bounded, nil, stop
+	}
+	total, stopTotal := context.WithTimeout(ctx, timeout+stallTotalMax)
+	bounded, stop := context.WithCancelCause(total)
+	timer := time.AfterFunc(timeout, func() { stop(ErrStalled) })
+	return bounded, func() { timer.Reset(c.limits.Stall) }, func() {
+		timer.Stop()
+		stop(nil)
+		stopTotal()
+	}
+}
+
+// preferContext returns the cause of the end of a context, since it explains the broken connection.
 func preferContext(ctx context.Context, err error) error {
-	if ctxErr := ctx.Err(); ctxErr != nil {
-		return ctxErr
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
 	}
 	return err
 }
--- a/server/transport/httpclient/reader.go
+++ b/server/transport/httpclient/reader.go
@@ -18,6 +18,8 @@
 	// max limits the bytes that are buffered at a time.
 	max int
 	err error
+	// progress is called when bytes arrived; it may be nil.
+	progress func()
 }
 
 func newReader(src io.Reader) *reader {
@@ -46,6 +48,9 @@
 	}
 	got, err := r.src.Read(r.buf[r.to:])
 	r.to += got
+	if got > 0 && r.progress != nil {
+		r.progress()
+	}
 	if err != nil {
 		r.err = err
 	}
