Use three quarters of the fleet's limit on repeats, and two readers where links are narrow

Nodes used half of the limit. Each node counts its own requests, also after a restart, so only the slack needs a large margin. Followers with links of 5 Mbit/s take a second to read 500 KB and are slower than peers that have it.

Three quarters of the ratio and half of the slack are used. In a failure domain with at least two wider links, nodes with narrower ones are no followers.

--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -31,6 +31,7 @@
 	deps     Dependencies
 	tracker  *routing.Tracker
 	splitter *routing.Splitter
+	domains  routing.Domains
 	budget   *retry.FleetBudget
 	sizes    sizes
 	patience patience
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -71,13 +71,15 @@
 
 // choose returns the next target, or nil if there is none that the request was not offered to.
 func (j *job) choose() *endpoint.Entry {
+	now := time.Now().UnixMilli()
 	candidates := j.h.candidates(j.view, j.service)
 	target := routing.Cheapest(&routing.Choice{
 		Candidates: candidates,
 		Stat:       func(node string) routing.Stat { return j.h.tracker.StatOf(node, j.request.Kind) },
+		DomainFull: func(domain string) bool { return j.h.domains.IsFull(domain, j.request.Kind, now) },
 		Exclude:    j.tried,
 		Place:      j.h.settings.Place,
-		NowMS:      time.Now().UnixMilli(),
+		NowMS:      now,
 		Settings:   j.h.settings.Routing,
 		Random:     j.h.deps.Random,
 	}, routing.Demand{Bytes: j.h.sizes.expected(j.trace.Route)}, j.h.settings.Weights, j.h.settings.Node)
@@ -108,6 +110,9 @@
 	}
 	result := routing.ResultOf(response.Outcome, response.Reason, response.Status)
 	j.h.tracker.EndReported(tracked, result, report, ended.UnixMilli())
+	if report != nil && target.FailureDomain != j.h.settings.Place.FailureDomain {
+		j.h.domains.Note(target.FailureDomain, j.request.Kind, report.Full, report.Wait, ended.UnixMilli())
+	}
 	if response.Outcome == outcome.Answered {
 		j.h.sizes.observe(j.trace.Route, len(j.request.Body)+len(response.Body))
 	}
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -271,6 +271,7 @@
 	e.deps.Log.WithFields(log.Fields{
 		"event": "execute", "request": r.RequestID, "from": r.From, "service": r.Service, "instance": target.Instance,
 		"outcome": response.Outcome.String(), "reason": string(response.Reason), "arrived": response.Arrived,
+		"priority": r.Priority, "far": r.Far,
 		"in_use": response.InUse, "queued": response.Queued, "slots": response.Slots, "wait_ms": response.WaitMS,
 		"service_ms": response.ServiceMS, "objective_left_ms": r.ObjectiveMS, "time_left_ms": r.TimeoutMS,
 	}).Info("request not answered here")
--- a/server/coordination/fanout/contacts.go
+++ b/server/coordination/fanout/contacts.go
@@ -16,7 +16,7 @@
 // ContactsOf orders nodes that may live: the followers of the own failure domain, those of the others, and then the
 // rest. After a restart of the whole fleet all nodes so turn to the same few at once; with a random order groups of
 // nodes would have to find each other first.
-func ContactsOf(domain string, nodes []*endpoint.Entry, perDomain int) Contacts {
+func (s Shape) ContactsOf(domain string, nodes []*endpoint.Entry) Contacts {
 	domains := make(map[string][]*endpoint.Entry)
 	for _, e := range nodes {
 		domains[e.FailureDomain] = append(domains[e.FailureDomain], e)
@@ -28,9 +28,11 @@
 	slices.Sort(names)
 	var own, others, rest []string
 	for _, name := range names {
-		for i, e := range rank(name, domains[name]) {
+		ranked := rank(name, domains[name])
+		followers := len(s.followers(ranked))
+		for i, e := range ranked {
 			switch {
-			case i >= perDomain:
+			case i >= followers:
 				rest = append(rest, e.Address)
 			case name == domain:
 				own = append(own, e.Address)
--- a/server/coordination/fanout/contacts_test.go
+++ b/server/coordination/fanout/contacts_test.go
@@ -20,7 +20,7 @@
 				others = append(others, e)
 			}
 		}
-		contacts := ContactsOf(self.FailureDomain, others, 2)
+		contacts := shape.ContactsOf(self.FailureDomain, others)
 		assert.Equal(t, len(contacts.Addresses), len(others))
 		assert.Equal(t, contacts.First, 2)
 		followers := Choose(self, all, reachable, shape).Followers
@@ -65,5 +65,7 @@
 		if wide[self.Node] {
 			assert.Assert(t, r.Follower)
 		}
+		many := Choose(self, all, reachable, Shape{Mode: ModeTree, FollowersPerDomain: 4, RelayChildren: 24})
+		assert.Equal(t, len(many.Followers), 2, "two are enough where others have narrow links")
 	}
 }
--- a/server/coordination/fanout/roles.go
+++ b/server/coordination/fanout/roles.go
@@ -84,8 +84,8 @@
 		}
 	}
 	own := rank(self.FailureDomain, domains[self.FailureDomain])
-	followers := own[:min(s.FollowersPerDomain, len(own))]
-	relays := own[:min(s.relays(len(own)), len(own))]
+	followers := s.followers(own)
+	relays := own[:min(s.relays(len(own), len(followers)), len(own))]
 	r := Roles{Rank: slices.Index(own, self)}
 	r.Follower = r.Rank < len(followers)
 	r.Relay = r.Rank < len(relays)
@@ -104,13 +104,26 @@
 		// A single follower needs contact with some other node of its failure domain, or it would fence itself.
 		r.Ring = peerOf(own[1])
 	}
-	r.Remote = remote(self.FailureDomain, domains, r.Rank, s.FollowersPerDomain)
+	r.Remote = s.remote(self.FailureDomain, domains, r.Rank)
 	return r
 }
 
-// relays returns the number of relays of a failure domain with that many members.
-func (s Shape) relays(members int) int {
-	return max(s.FollowersPerDomain, (members+s.RelayChildren-1)/s.RelayChildren)
+// followersMin is the number of followers of a failure domain below which narrow links do not matter.
+const followersMin = 2
+
+// followers returns the log followers among the ranked members of a failure domain. Nodes with a narrow link are none
+// where enough others have wider ones: they would read a configuration more slowly than others pass it on.
+func (s Shape) followers(ranked []*endpoint.Entry) []*endpoint.Entry {
+	n := min(s.FollowersPerDomain, len(ranked))
+	for n > followersMin && linkTier(ranked[n-1]) < linkTier(ranked[0]) {
+		n--
+	}
+	return ranked[:n]
+}
+
+// relays returns the number of relays of a failure domain with that many members and followers.
+func (s Shape) relays(members, followers int) int {
+	return max(followers, (members+s.RelayChildren-1)/s.RelayChildren)
 }
 
 // parents lists whom a node syncs with, in order of preference.
@@ -134,14 +147,13 @@
 }
 
 // remote picks one follower of every other failure domain: the one of the same rank, modulo their number.
-func remote(own string, domains map[string][]*endpoint.Entry, place, perDomain int) []Peer {
+func (s Shape) remote(own string, domains map[string][]*endpoint.Entry, place int) []Peer {
 	var list []Peer
 	for domain, members := range domains {
 		if domain == own {
 			continue
 		}
-		followers := rank(domain, members)
-		followers = followers[:min(perDomain, len(followers))]
+		followers := s.followers(rank(domain, members))
 		list = append(list, peerOf(followers[place%len(followers)]))
 	}
 	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Node, b.Node) })
--- a/server/coordination/retry/fleet.go
+++ b/server/coordination/retry/fleet.go
@@ -14,12 +14,15 @@
 }
 
 const (
-	// fleetShare is the part of the fleet's limit that the nodes use together. The rest covers nodes that are not
-	// known yet, that restarted without memory of their repeats, and requests that ended before they were counted.
-	fleetShare = 0.5
-	// errorShare is the part of it for repeats of requests that their target ran and answered with an error. A target
+	// ratioShare is the part of Ratio that the nodes use together. Each counts its own requests, also after a restart,
+	// so the rest covers only the calls that repeated requests make, and requests that ended before they were counted.
+	ratioShare = 0.75
+	// slackShare is the part of Slack that the nodes use together. The rest covers nodes that are not known yet, and
+	// those that restarted without memory of their repeats.
+	slackShare = 0.5
+	// errorShare is the part of both for repeats of requests that their target ran and answered with an error. A target
 	// that runs a request again makes its own calls again, and those count as repeats at the services that it calls.
-	errorShare = 0.2
+	errorShare = 0.13
 	// fleetBuckets is the number of parts in which a window is counted.
 	fleetBuckets = 10
 	// fleetServicesMax limits the services counted; when it is reached all start anew.
@@ -79,7 +82,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, nowMS)
-	allowed := fleetShare * (b.limit.Ratio*float64(w.fullFirsts()) + b.limit.Slack/float64(b.nodes))
+	allowed := ratioShare*b.limit.Ratio*float64(w.fullFirsts()) + slackShare*b.limit.Slack/float64(b.nodes)
 	if ran {
 		allowed *= errorShare
 	}
--- a/server/coordination/retry/fleet_test.go
+++ b/server/coordination/retry/fleet_test.go
@@ -51,6 +51,38 @@
 	assert.Assert(t, sum(repeats[:]) > sum(firsts[:])/20, "%d repeats of %d requests: the limit is not used", sum(repeats[:]), sum(firsts[:]))
 }
 
+// Guards against requests that fail although the limit allows another attempt, when all targets of a service shed half of
+// what they get, and against nodes that exceed the limit because they forget their repeats at a restart.
+func TestFleetBudgetOverRestarts(t *testing.T) {
+	const nodes, stepMS, steps, load = 11, 50, 800, 30
+	random := rand.New(rand.NewPCG(20261204, 2))
+	budgets := make([]*FleetBudget, nodes)
+	for i := range budgets {
+		budgets[i] = NewFleetBudget(fleetLimit, nodes)
+	}
+	var repeats [steps]int
+	for step := range repeats {
+		now := int64(1_800_000_000_000 + step*stepMS)
+		if step >= steps/2 && step%20 == 0 && (step-steps/2)/20 < nodes {
+			budgets[(step-steps/2)/20] = NewFleetBudget(fleetLimit, nodes)
+		}
+		for range load {
+			b := budgets[random.IntN(nodes)]
+			b.First("s", now)
+			if random.IntN(2) == 0 && b.Take("s", false, now) {
+				repeats[step]++
+			}
+		}
+	}
+	window := int(fleetLimit.Window.Milliseconds() / stepMS)
+	for from := 0; from+window <= steps; from++ {
+		spent := float64(sum(repeats[from : from+window]))
+		assert.Assert(t, spent <= fleetLimit.Ratio*float64(load*window)+fleetLimit.Slack, "%v repeats in the window of step %d", spent, from)
+	}
+	before := float64(sum(repeats[window : steps/2]))
+	assert.Assert(t, before > 0.65*fleetLimit.Ratio*float64(load*(steps/2-window)), "%v repeats: the limit is not used", before)
+}
+
 // Guards against repeats after an answer that take the place of those after a refusal, and against a repeat that counts
 // although it reached no target.
 func TestFleetBudgetParts(t *testing.T) {
--- a/server/coordination/routing/choose.go
+++ b/server/coordination/routing/choose.go
@@ -131,6 +131,8 @@
 	Candidates []*endpoint.Entry
 	// Stat returns this node's observations of a node.
 	Stat func(node string) Stat
+	// DomainFull reports whether another failure domain is known to be full; nil if that is not known of any.
+	DomainFull func(domain string) bool
 	// Exclude are nodes that failed this request already; they are used only if no other candidate remains.
 	Exclude  map[string]bool
 	Place    Place
--- a/server/coordination/routing/score.go
+++ b/server/coordination/routing/score.go
@@ -42,7 +42,8 @@
 // recent faults added; nil if there is none. Candidates in Exclude are left out. An ejected candidate is taken only if
 // there is no other.
 //
-// A node of another failure domain that has just refused a request of this kind as full is left out. When all domains are
+// A node of another failure domain that has just refused a request of this kind as full is left out, and so are all of
+// a domain that is known to be full. When all domains are
 // full, each offer to another one costs bytes between them and ends in a refusal.
 //
 // It answers three load patterns: near targets are used up to the point at which a wait there is worse than the way to
@@ -56,7 +57,7 @@
 			continue
 		}
 		s := c.Stat(e.Node)
-		if c.NowMS < s.FullUntilMS && c.Place.tier(e) != tierDomain {
+		if c.Place.tier(e) != tierDomain && (c.NowMS < s.FullUntilMS || c.isDomainFull(e)) {
 			continue
 		}
 		cost := c.cost(e, s, d, w, self)
@@ -86,6 +87,10 @@
 	return cost + c.distanceCost(e, d, w, self)
 }
 
+func (c *Choice) isDomainFull(e *endpoint.Entry) bool {
+	return c.DomainFull != nil && c.DomainFull(e.FailureDomain)
+}
+
 // coldShareMin is the least speed that a cold target is taken to have.
 const coldShareMin = 0.5
 
--- a/server/coordination/routing/score_test.go
+++ b/server/coordination/routing/score_test.go
@@ -105,6 +105,30 @@
 	assert.Equal(t, choose(kind, fullMax, "self", "near"), "far", "room is looked for again in time")
 }
 
+// Guards against a full failure domain of which each target is offered a request before it is known to be full, and
+// against one that stays out after it has room again.
+func TestFullDomainsAreNotAsked(t *testing.T) {
+	const kind = uint32(1)
+	var d Domains
+	choose := func(nowMS int64) *endpoint.Entry {
+		choice := scoreChoice(nil)
+		choice.Exclude = map[string]bool{"self": true, "near": true}
+		choice.DomainFull = func(domain string) bool { return d.IsFull(domain, kind, nowMS) }
+		return Cheapest(choice, Demand{}, Weights{}, "self")
+	}
+	d.Note("d2", kind, true, time.Second, scoreNow)
+	assert.Assert(t, choose(scoreNow) != nil, "one full target says nothing of the others")
+	d.Note("d2", kind, true, time.Second, scoreNow)
+	assert.Assert(t, choose(scoreNow) == nil)
+	assert.Assert(t, !d.IsFull("d2", kind+1, scoreNow) && !d.IsFull("d3", kind, scoreNow))
+	later := scoreNow + fullMax.Milliseconds()
+	assert.Assert(t, choose(later) != nil)
+	d.Note("d2", kind, true, time.Second, later)
+	assert.Assert(t, choose(later) == nil, "one refusal is enough while it lasts")
+	d.Note("d2", kind, false, 0, later)
+	assert.Assert(t, choose(later) != nil)
+}
+
 // Guards against parts of a route that get another share of few requests than their weights say.
 func TestSplitterKeepsWeights(t *testing.T) {
 	route := &config.Route{Name: "r", Destinations: []config.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -81,16 +81,19 @@
 	return membership.Rules{SuspectAfter: m.SuspectAfter, DeadAfter: m.DeadAfter, SelfFence: m.SelfFence}
 }
 
+func (c *core) shape() fanout.Shape {
+	f := c.settings.Fanout
+	return fanout.Shape{
+		Mode: fanout.Mode(f.Mode), FollowersPerDomain: f.FollowersPerDomain, RelayChildren: f.RelayChildren,
+	}
+}
+
 func (c *core) buildControl(hooks controlHooks) {
 	s := c.settings
 	c.controlPool = peer.NewPool(c.credential(), c.controlLimits())
 	c.control = control.New(control.Settings{
-		Rules: c.membershipRules(),
-		Shape: fanout.Shape{
-			Mode:               fanout.Mode(s.Fanout.Mode),
-			FollowersPerDomain: s.Fanout.FollowersPerDomain,
-			RelayChildren:      s.Fanout.RelayChildren,
-		},
+		Rules:              c.membershipRules(),
+		Shape:              c.shape(),
 		SyncHold:           s.Fanout.SyncHold,
 		CoalesceWindow:     s.Fanout.CoalesceWindow,
 		SyncAdmissionRate:  float64(s.Fanout.SyncAdmissionRate),
--- a/server/daemon/meet.go
+++ b/server/daemon/meet.go
@@ -53,8 +53,8 @@
 	ctx, cancel := context.WithTimeout(ctx, meetTimeout)
 	defer cancel()
 	return h.platform.Directory().Publish(ctx, seeds.Record{
-		Node:        h.settings.Node.Name,
-		Address:     h.settings.Listen.PeerAddress(),
+		Node:          h.settings.Node.Name,
+		Address:       h.settings.Listen.PeerAddress(),
 		FailureDomain: h.settings.Node.FailureDomain,
 		LinkMbps:      uint32(h.settings.Node.LinkMbps),
 		Incarnation:   h.started.UnixNano(),
@@ -88,7 +88,7 @@
 			Node: r.Node, Address: r.Address, FailureDomain: r.FailureDomain, LinkMbps: r.LinkMbps,
 		})
 	}
-	contacts := fanout.ContactsOf(h.settings.Node.FailureDomain, entries, h.settings.Fanout.FollowersPerDomain)
+	contacts := h.shape().ContactsOf(h.settings.Node.FailureDomain, entries)
 	contacts.Addresses = append(contacts.Addresses, h.settings.Node.Seeds...)
 	return contacts
 }
