Keep a target in service until callers have left its node, and pass by unreachable nodes

Each node refused work for its target from SIGTERM on, 2.2 s before it had to, so the slots of up to three of seven targets were idle at a time. Requests were refused with connect_failed (261 of the failed ones from 24 s to 25.9 s): each request is offered to four nodes at most, and a node that refuses connections was left out only after three failures.

Ruled out: the store's outage itself (requests of nodes with a configuration went on), targets that crashed (no target_lapsed before 25 s).

On SIGTERM the node is not ready and tells callers to leave, as before, and withdraws its target when the leave delay is over. A node that takes no work (no connection, stopping, without configuration or target) is left out for 300 ms, and this does not count as a fault of its target.

--- a/server/coordination/routing/score_test.go
+++ b/server/coordination/routing/score_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
 )
@@ -129,6 +130,24 @@
 	assert.Assert(t, choose(later) != nil)
 }
 
+// Guards against requests whose few offers all go to nodes that have just refused a connection, while others serve, and
+// against a node that is not tried again soon after its restart.
+func TestUnreachableNodesAreLeftOut(t *testing.T) {
+	for _, reason := range []outcome.Reason{outcome.ReasonConnectFailed, outcome.ReasonShutdown, outcome.ReasonNotReady} {
+		tracker := NewTracker(DefaultSettings())
+		result := ResultOf(outcome.RefusedNotRun, reason, 0)
+		tracker.EndReported(tracker.Begin("self", scoreNow), result, nil, scoreNow)
+		choose := func(after time.Duration) string {
+			choice := scoreChoice(nil)
+			choice.Stat = tracker.Stat
+			choice.NowMS += after.Milliseconds()
+			return Cheapest(choice, Demand{}, Weights{}, "self").Node
+		}
+		assert.Equal(t, choose(0), "near", "%s", reason)
+		assert.Equal(t, choose(unreachableTime), "self", "%s", reason)
+	}
+}
+
 // Guards against parts of a route that get another share of few requests than their weights say.
 func TestSplitterKeepsWeights(t *testing.T) {
 	route := &config.Route{Name: "r", Destinations: []config.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -123,8 +123,14 @@
 	Succeeded
 	// Failed counts towards ejection.
 	Failed
+	// Unreachable means that the node takes no work at the moment. It also counts towards ejection.
+	Unreachable
 )
 
+// unreachableTime is how long a node that takes no work is left out. It is about the time in which a process starts
+// again.
+const unreachableTime = 300 * time.Millisecond
+
 // End ends an attempt. inUse and queued are the reported slots in use and queue length; inUse below 0 means that
 // nothing was reported.
 func (t *Tracker) End(a Attempt, result Result, inUse, queued int, nowMS int64) {
@@ -196,7 +202,7 @@
 	if result == Failed || (report != nil && report.Shed) {
 		fault = 1
 	}
-	if result != Neutral {
+	if result != Neutral && result != Unreachable {
 		known := next.FaultsAt(nowMS)
 		next.Faults = known + faultWeight*(fault-known)
 		next.FaultsMS = nowMS
@@ -231,6 +237,9 @@
 		if s.Failures >= settings.EjectFailures {
 			s.EjectedUntilMS = nowMS + settings.EjectTime.Milliseconds()
 		}
+	case Unreachable:
+		s.Failures++
+		s.EjectedUntilMS = nowMS + unreachableTime.Milliseconds()
 	}
 	return s
 }
@@ -256,9 +265,10 @@
 
 func refusalResult(reason outcome.Reason) Result {
 	switch reason {
-	case outcome.ReasonConnectFailed, outcome.ReasonTargetDown, outcome.ReasonNotReady, outcome.ReasonNotEligible,
-		outcome.ReasonSelfFenced, outcome.ReasonShutdown, outcome.ReasonDraining, outcome.ReasonTargetReplaced,
-		outcome.ReasonNoTarget:
+	case outcome.ReasonConnectFailed, outcome.ReasonTargetDown, outcome.ReasonNotReady, outcome.ReasonShutdown,
+		outcome.ReasonDraining, outcome.ReasonNoTarget:
+		return Unreachable
+	case outcome.ReasonNotEligible, outcome.ReasonSelfFenced, outcome.ReasonTargetReplaced:
 		return Failed
 	case outcome.ReasonQueueFull, outcome.ReasonOverloaded, outcome.ReasonTargetFull:
 		return Succeeded
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -275,18 +275,19 @@
 	return errors.Join(err, h.stop(stop))
 }
 
-// stop takes callers for a while longer, finishes the requests in flight, and then closes everything.
+// stop takes callers, and work for the target, for a while longer, finishes the requests in flight, and then closes
+// everything. The target may outlive the process, so its slots are used until callers have left.
 func (h *Hosted) stop(stopBackground func()) error {
 	limit := h.live.Load().Node.ShutdownTimeout
 	log.WithFields(log.Fields{"event": "stop", "timeout": limit.String(), "in_flight": h.dispatch.InFlight()}).Info("shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	h.closing.Store(true)
-	h.registrar.Stop()
 	select {
 	case <-time.After(min(h.live.Load().Platform.LeaveDelay, limit/2)):
 	case <-ctx.Done():
 	}
+	h.registrar.Stop()
 	err := h.finish(ctx, limit)
 	h.leave(ctx)
 	stopBackground()
