Repeat urgent requests first, wait in one place, and mend the soak's restarts

Four packages had a copy of the same wait.

Kinds beside the most urgent one of a service use at most 60% of the limit. coordination/pause replaces the copies.

--- a/server/coordination/announce/announce_test.go
+++ b/server/coordination/announce/announce_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/state/endpoint"
 )
@@ -161,7 +162,7 @@
 }
 
 func (f *fixture) WaitIdle(ctx context.Context) error {
-	sleep(ctx, f.busy)
+	pause.For(ctx, f.busy)
 	f.record("idle")
 	return ctx.Err()
 }
--- a/server/coordination/announce/announcer.go
+++ b/server/coordination/announce/announcer.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/transport/httpclient"
 )
@@ -304,7 +305,7 @@
 				a.connected(ctx)
 				return
 			}
-			if !sleep(ctx, a.settings.ConnectInterval) {
+			if !pause.For(ctx, a.settings.ConnectInterval) {
 				return
 			}
 		}
@@ -366,20 +367,8 @@
 			return ctx.Err()
 		}
 		a.deps.Log.WithError(err).WithField("operation", name).Warn("operation failed; it is repeated")
-		if !sleep(ctx, waits.NextBackOff()) {
+		if !pause.For(ctx, waits.NextBackOff()) {
 			return ctx.Err()
 		}
 	}
 }
-
-// sleep waits and reports whether the wait was not cut short.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/server/coordination/announce/drain.go
+++ b/server/coordination/announce/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/state/endpoint"
 )
 
@@ -68,7 +69,7 @@
 // drain refuses new work when the draining state had time to spread, hands the key records over and waits for the
 // requests in flight. It returns an error if the announcer was closed.
 func (a *Announcer) drain(closed bool) error {
-	if !closed && !sleep(a.stopped, a.settings.DrainAnnounce) {
+	if !closed && !pause.For(a.stopped, a.settings.DrainAnnounce) {
 		return ErrShutdown
 	}
 	a.event(EventClosed)
--- a/server/coordination/announce/poll.go
+++ b/server/coordination/announce/poll.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"wagtailford.example/server/coordination/pause"
 )
 
 const (
@@ -45,7 +47,7 @@
 
 // poll asks the health and load endpoints until the announcer is closed.
 func (a *Announcer) poll() {
-	for sleep(a.stopped, a.settings.HealthInterval) {
+	for pause.For(a.stopped, a.settings.HealthInterval) {
 		l := a.Lifecycle()
 		if l.Phase != Alive {
 			continue
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -50,7 +50,7 @@
 
 // run makes attempts until one of them ends the request.
 func (j *job) run(ctx context.Context) *Result {
-	j.h.budget.First(j.service, time.Now().UnixMilli())
+	j.h.budget.First(j.service, j.request.Priority, time.Now().UnixMilli())
 	j.tried = make(map[string]bool)
 	j.lastRefusal = outcome.ReasonNoTarget
 	for {
@@ -58,7 +58,7 @@
 		if target == nil {
 			return j.final(refuse(j.lastRefusal))
 		}
-		if j.arrivals > 0 && !j.h.budget.Take(j.service, j.failure != nil, time.Now().UnixMilli()) {
+		if j.arrivals > 0 && !j.h.budget.Take(j.service, j.request.Priority, j.failure != nil, time.Now().UnixMilli()) {
 			j.trace.BudgetExhausted = true
 			return j.final(refuse(outcome.ReasonAttemptsExhausted))
 		}
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/endpoint"
 )
@@ -149,7 +150,7 @@
 // Without probes, groups of nodes that started from different seeds would stay apart, and so would the sides of a
 // failure domain that was split and declared each other dead.
 func (s *Syncer) probeLoop(ctx context.Context) {
-	sleep(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
+	pause.For(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 	for ctx.Err() == nil {
 		if s.sink.Alone() {
 			s.askSeeds(ctx)
@@ -167,7 +168,7 @@
 		case p := <-s.pulls:
 			s.askOnce(ctx, p)
 			// A peer that stays ahead is asked again only after a pause.
-			sleep(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
+			pause.For(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 		}
 		timer.Stop()
 	}
@@ -206,7 +207,7 @@
 		return false
 	}
 	if reply.RetryAfterMS > 0 {
-		sleep(ctx, time.Duration(reply.RetryAfterMS)*time.Millisecond)
+		pause.For(ctx, time.Duration(reply.RetryAfterMS)*time.Millisecond)
 		return false
 	}
 	return true
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
@@ -249,7 +250,7 @@
 func (s *Syncer) follow(ctx context.Context, peers []Peer, relation Relation, hold time.Duration) {
 	waits := backoff.NewExponentialBackOff()
 	waits.MaxInterval = s.settings.RetryMax
-	sleep(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
+	pause.For(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 	for i := 0; ctx.Err() == nil; i++ {
 		peer := peers[i%len(peers)]
 		if s.pollUntilFailure(ctx, peer, relation, hold) {
@@ -263,7 +264,7 @@
 		if i%len(peers) == len(peers)-1 {
 			wait += waits.NextBackOff()
 		}
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 }
 
@@ -281,7 +282,7 @@
 			return answered
 		}
 		if reply.RetryAfterMS > 0 {
-			sleep(ctx, time.Duration(reply.RetryAfterMS)*time.Millisecond)
+			pause.For(ctx, time.Duration(reply.RetryAfterMS)*time.Millisecond)
 			continue
 		}
 		if !answered && relation != ToRemote {
@@ -296,7 +297,7 @@
 	for {
 		news := s.sink.News()
 		if _, err := s.push(ctx, l, peer, relation); err != nil {
-			sleep(ctx, s.settings.ReconnectJitter/2+s.settings.Jitter(s.settings.ReconnectJitter))
+			pause.For(ctx, s.settings.ReconnectJitter/2+s.settings.Jitter(s.settings.ReconnectJitter))
 			if ctx.Err() != nil {
 				return
 			}
@@ -317,13 +318,3 @@
 	}
 	return rand.N(d)
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/server/coordination/follow/follow.go
+++ b/server/coordination/follow/follow.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/protocol/platformlog"
 	"wagtailford.example/server/state/config"
 )
@@ -141,7 +142,7 @@
 			f.maintainSnapshot(ctx)
 			continue
 		}
-		sleep(ctx, delay.NextBackOff())
+		pause.For(ctx, delay.NextBackOff())
 	}
 }
 
@@ -246,13 +247,3 @@
 	f.problem = problem
 	f.logger.WithFields(fields).Warn(problem)
 }
-
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cenkalti/backoff/v5"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/state/config"
 )
 
@@ -89,7 +90,7 @@
 		default:
 			delays.Reset()
 		}
-		sleep(ctx, delay)
+		pause.For(ctx, delay)
 	}
 }
 
--- a/server/coordination/ingress/job.go
+++ b/server/coordination/ingress/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
@@ -83,7 +84,7 @@
 			j.mayHaveRun = true
 		}
 		decision := j.next(response)
-		if decision.Action == retry.GiveUp || !sleep(ctx, decision.Wait) {
+		if decision.Action == retry.GiveUp || !pause.For(ctx, decision.Wait) {
 			return j.final(response)
 		}
 		j.h.counters.Retries.Add(1)
@@ -144,18 +145,3 @@
 	}
 	return response
 }
-
-// sleep waits and reports false if ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/server/coordination/retry/fleet.go
+++ b/server/coordination/retry/fleet.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,6 +25,11 @@
 	// errorShare is the part of both for repeats of requests that their target ran and answered with an error. A target
 	// that runs a request again makes its own calls again, and those count as repeats at the services that it calls.
 	errorShare = 0.13
+	// lowerShare is the part of both for kinds of requests beside the most urgent one of a service. When all targets of a
+	// service shed, the limit is too small for all, and a repeat of an urgent request brings more.
+	lowerShare = 0.6
+	// leastUrgent is the priority of a time in which no request came.
+	leastUrgent = math.MaxInt
 	// fleetBuckets is the number of parts in which a window is counted.
 	fleetBuckets = 10
 	// fleetServicesMax limits the services counted; when it is reached all start anew.
@@ -41,11 +48,21 @@
 // repeatWindow counts the requests and repeats of one service by bucket of time.
 type repeatWindow struct {
 	// last is the number of the newest bucket.
-	last             int64
-	firsts, repeats  [fleetBuckets + 1]int
+	last            int64
+	firsts, repeats [fleetBuckets + 1]int
+	// urgent is the most urgent priority of the requests.
+	urgent           [fleetBuckets + 1]int
 	refused, granted int64
 }
 
+func newRepeatWindow(bucket int64) *repeatWindow {
+	w := &repeatWindow{last: bucket}
+	for i := range w.urgent {
+		w.urgent[i] = leastUrgent
+	}
+	return w
+}
+
 // NewFleetBudget returns a budget for one node among nodes.
 func NewFleetBudget(limit FleetLimit, nodes int) *FleetBudget {
 	return &FleetBudget{limit: limit, nodes: max(nodes, 1), services: make(map[string]*repeatWindow)}
@@ -68,17 +85,19 @@
 	b.limit = limit
 }
 
-// First counts a request to a service.
-func (b *FleetBudget) First(service string, nowMS int64) {
+// First counts a request to a service. priority is its rank, 0 first.
+func (b *FleetBudget) First(service string, priority int, nowMS int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, nowMS)
-	w.firsts[w.last%int64(len(w.firsts))]++
+	at := w.last % int64(len(w.firsts))
+	w.firsts[at]++
+	w.urgent[at] = min(w.urgent[at], priority)
 }
 
 // Take counts a repeat and reports whether it is within the limit; otherwise nothing is counted. ran is true if a target
 // certainly ran the request before.
-func (b *FleetBudget) Take(service string, ran bool, nowMS int64) bool {
+func (b *FleetBudget) Take(service string, priority int, ran bool, nowMS int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, nowMS)
@@ -86,6 +105,9 @@
 	if ran {
 		allowed *= errorShare
 	}
+	if priority > slices.Min(w.urgent[:]) {
+		allowed *= lowerShare
+	}
 	if float64(sum(w.repeats[:])+1) > allowed {
 		w.refused++
 		return false
@@ -125,13 +147,13 @@
 		if len(b.services) >= fleetServicesMax {
 			clear(b.services)
 		}
-		w = &repeatWindow{last: bucket}
+		w = newRepeatWindow(bucket)
 		b.services[service] = w
 	}
 	passed := min(max(bucket-w.last, 0), int64(len(w.firsts)))
 	for i := range passed {
 		at := (w.last + 1 + i) % int64(len(w.firsts))
-		w.firsts[at], w.repeats[at] = 0, 0
+		w.firsts[at], w.repeats[at], w.urgent[at] = 0, 0, leastUrgent
 	}
 	if passed > 0 {
 		w.last = bucket
--- a/server/coordination/retry/fleet_test.go
+++ b/server/coordination/retry/fleet_test.go
@@ -28,9 +28,9 @@
 		}
 		for range load {
 			b := budgets[random.IntN(1+random.IntN(nodes))]
-			b.First("s", now)
+			b.First("s", 0, now)
 			firsts[step]++
-			if b.Take("s", random.IntN(2) == 0, now) {
+			if b.Take("s", 0, random.IntN(2) == 0, now) {
 				repeats[step]++
 			}
 		}
@@ -68,8 +68,8 @@
 		}
 		for range load {
 			b := budgets[random.IntN(nodes)]
-			b.First("s", now)
-			if random.IntN(2) == 0 && b.Take("s", false, now) {
+			b.First("s", 0, now)
+			if random.IntN(2) == 0 && b.Take("s", 0, false, now) {
 				repeats[step]++
 			}
 		}
@@ -83,25 +83,51 @@
 	assert.Assert(t, before > 0.65*fleetLimit.Ratio*float64(load*(steps/2-window)), "%v repeats: the limit is not used", before)
 }
 
+// Guards against urgent requests that find the limit used up by the repeats of others, and against a part that stays
+// unused where there is nothing more urgent.
+func TestFleetBudgetKeepsAPartForUrgentRequests(t *testing.T) {
+	b := NewFleetBudget(fleetLimit, 1)
+	const now = 1_800_000_000_000
+	takeAll := func(priority int, nowMS int64) int {
+		n := 0
+		for b.Take("s", priority, false, nowMS) {
+			n++
+		}
+		return n
+	}
+	for range 1000 {
+		b.First("s", 2, now)
+	}
+	b.First("s", 1, now)
+	lower, urgent := takeAll(2, now), takeAll(1, now)
+	assert.Assert(t, lower > 0 && urgent > lower/2, "%d repeats of the lower kind, then %d of the urgent one", lower, urgent)
+	later := now + 2*fleetLimit.Window.Milliseconds()
+	for range 1000 {
+		b.First("s", 2, later)
+	}
+	alone := takeAll(2, later)
+	assert.Assert(t, alone > lower+lower/2, "%d repeats with nothing more urgent, %d before", alone, lower)
+}
+
 // Guards against repeats after an answer that take the place of those after a refusal, and against a repeat that counts
 // although it reached no target.
 func TestFleetBudgetParts(t *testing.T) {
 	b := NewFleetBudget(fleetLimit, 1)
 	const now = 1_800_000_000_000
 	for range 1000 {
-		b.First("s", now)
+		b.First("s", 0, now)
 	}
 	ran := 0
-	for b.Take("s", true, now) {
+	for b.Take("s", 0, true, now) {
 		ran++
 	}
 	refused := 0
-	for b.Take("s", false, now) {
+	for b.Take("s", 0, false, now) {
 		refused++
 	}
 	assert.Assert(t, ran > 0 && refused > 2*ran, "%d after answers, %d after refusals", ran, refused)
 	b.Return("s", now)
-	assert.Assert(t, b.Take("s", false, now))
-	assert.Assert(t, !b.Take("s", false, now))
-	assert.Assert(t, b.Take("other", false, now), "the limit is that of each service")
+	assert.Assert(t, b.Take("s", 0, false, now))
+	assert.Assert(t, !b.Take("s", 0, false, now))
+	assert.Assert(t, b.Take("other", 0, false, now), "the limit is that of each service")
 }
--- a/standin/bench/worker.go
+++ b/standin/bench/worker.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"wagtailford.example/server/coordination/pause"
 	"wagtailford.example/standin/fleet"
 	"wagtailford.example/standin/target"
 )
@@ -89,7 +89,7 @@
 	if r.Header.Get(target.HeaderRequestID) != "" {
 		w.started.Add(1)
 	}
-	if !pause(ctx, w.serviceTime()) {
+	if !pause.For(ctx, w.serviceTime()) {
 		return
 	}
 	out.WriteHeader(http.StatusOK)
@@ -103,15 +103,3 @@
 	}
 	return service
 }
-
-// pause waits and reports false if ctx ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -204,10 +204,11 @@
 // SIGHUP that comes before it has set up its signals.
 func (n *node) supervise(cmd *exec.Cmd, ended chan struct{}) {
 	_ = cmd.Wait()
-	close(ended)
 	n.mu.Lock()
+	// Read before the end is announced, since the next start resets it.
 	expected := n.expected
 	n.mu.Unlock()
+	close(ended)
 	if expected {
 		return
 	}
