--- a/server/coordination/admission/queues.go
+++ b/server/coordination/admission/queues.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// priorityRatio is how many times the share of slots of the next lower priority a kind is entitled to. With it, twice
-	// the load of a service costs its most urgent kind nothing as long as that kind alone fits.
+	// priorityRatio is how many times the slots of the next lower priority a kind is entitled to. Beside one lower kind,
+	// the most urgent one so has three quarters of the slots.
 	priorityRatio = 3
 	// lowestShare is the least weight of a kind against the most urgent one, so that none is starved by more urgent load
 	// that does not end.
@@ -89,7 +89,7 @@
 	kinds []*kindQueue
 }
 
-// of returns the queue of a kind, made anew if there is none.
+// of returns the queue of a kind. It is made anew if there is none, and takes the priority of the newest request.
 func (qs *queues) of(kind uint32, priority int) *kindQueue {
 	q := qs.find(kind)
 	if q == nil {
--- a/server/coordination/routing/score.go
+++ b/server/coordination/routing/score.go
@@ -43,8 +43,8 @@
 // there is no other.
 //
 // A node of another failure domain that has just refused a request of this kind as full is left out, and so are all of
-// a domain that is known to be full. When all domains are
-// full, each offer to another one costs bytes between them and ends in a refusal.
+// a domain that is known to be full. When all domains are full, each offer to another one costs bytes between them and
+// ends in a refusal.
 //
 // It answers three load patterns: near targets are used up to the point at which a wait there is worse than the way to
 // another failure domain; slow targets get less work than fast ones; and a target that fails part of its requests while
