Serve routes of an unknown kind as ones that must not be repeated

Ruled out: refusing only the route, since a configuration must not be applied in part and its requests can be served under the strictest meaning.

A log line and the counter UnknownWords name the words. What cannot be consistent (no timeout, unknown service, ...) still refuses the whole configuration.

--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -51,6 +51,8 @@
 // WholeCounters count the reads of a WholeFollower.
 type WholeCounters struct {
 	Reads, FailedReads, Installed, Rejected atomic.Int64
+	// UnknownWords are the words in installed configurations that this build does not know.
+	UnknownWords atomic.Int64
 }
 
 // WholeFollower reads whole configurations from a source into a sink.
@@ -123,9 +125,24 @@
 	f.logger.WithFields(log.Fields{
 		"event": "configuration", "version": w.Offset, "sequence": w.Sequence, "routes": len(w.Content.Routes),
 	}).Info("configuration in force")
+	f.noteUnknown(w)
 	return true, nil
 }
 
+// unknownLogged limits the words of one configuration that are logged.
+const unknownLogged = 8
+
+// noteUnknown tells operators which words of a configuration were replaced by the strictest meaning.
+func (f *WholeFollower) noteUnknown(w *config.Whole) {
+	f.Counters.UnknownWords.Add(int64(len(w.Unknown)))
+	for _, u := range w.Unknown[:min(len(w.Unknown), unknownLogged)] {
+		f.logger.WithFields(log.Fields{
+			"event": "configuration_word_unknown", "version": w.Offset, "route": u.Route, "field": u.Field, "word": u.Word,
+			"words": len(w.Unknown),
+		}).Warn("word of the configuration is not known; its strictest meaning applies")
+	}
+}
+
 // wait returns how long the source is asked to wait. A source that failed is not asked to: a read that waits cannot be
 // told from one on a connection that fell silent, and would be given up only after the source is long back.
 func (f *WholeFollower) wait() time.Duration {
--- a/server/state/config/whole.go
+++ b/server/state/config/whole.go
@@ -16,6 +16,13 @@
 	// TimeMS is the time at which the node received the publication, Unix milliseconds.
 	TimeMS  int64
 	Content Content
+	// Unknown are the words that this build does not know and replaced by the strictest meaning.
+	Unknown []UnknownWord
+}
+
+// UnknownWord is a word of a newer publisher.
+type UnknownWord struct {
+	Route, Field, Word string
 }
 
 // InvalidError means that a published configuration is not consistent in itself.
