Fetch large bodies in pieces from the executing node, no more than its link carries

A body above 16 KiB stays at the entry node and is announced; the executing node fetches it in pieces of 32 KiB, as many bodies at a time as its link carries in 50 ms (at least two), in the order of due times, and refuses one that would arrive too late before any of it is sent. Silence of a connection is judged by bytes, not by whole frames. The choice of a target counts the time of the body on its link; the price of bytes between domains is bounded by the objective.

--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -45,9 +45,10 @@
 
 // Settings are the settings of a Handler.
 type Settings struct {
-	// Node is the name of this node.
-	Node  string
-	Place routing.Place
+	// Node is the name of this node, Address where other nodes call it.
+	Node    string
+	Address string
+	Place   routing.Place
 	// TriesMax limits the nodes that one request is offered to. Most refuse without sending it to their target.
 	TriesMax int
 	// DefaultTimeout applies if neither the caller nor the route sets a limit.
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -12,6 +12,7 @@
 
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/config"
@@ -35,6 +36,8 @@
 	budget   *retry.FleetBudget
 	sizes    sizes
 	patience patience
+	// bodies are the large bodies of requests in progress.
+	bodies   transfer.Outbox
 	attempt  atomic.Uint64
 	counters Counters
 	// refusing is true when the node takes no more requests.
@@ -161,6 +164,9 @@
 	}
 }
 
+// Bodies returns the large bodies that other nodes fetch from this one.
+func (h *Handler) Bodies() *transfer.Outbox { return &h.bodies }
+
 // Refuse refuses all later requests as not run, because the node ends.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -7,6 +7,7 @@
 
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/endpoint"
@@ -82,7 +83,7 @@
 		NowMS:      now,
 		Settings:   j.h.settings.Routing,
 		Random:     j.h.deps.Random,
-	}, routing.Demand{Bytes: j.h.sizes.expected(j.trace.Route)}, j.h.settings.Weights, j.h.settings.Node)
+	}, j.demand(), j.h.settings.Weights, j.h.settings.Node)
 	if target == nil && len(candidates) > 0 && j.lastRefusal == outcome.ReasonNoTarget {
 		// Every candidate counts as full.
 		j.lastRefusal = outcome.ReasonQueueFull
@@ -90,6 +91,15 @@
 	return target
 }
 
+// demand returns what the request asks of its target.
+func (j *job) demand() routing.Demand {
+	d := routing.Demand{Bytes: j.h.sizes.expected(j.trace.Route), Objective: j.limits.objective.Sub(j.trace.Started)}
+	if len(j.request.Body) > transfer.InlineMax {
+		d.Body = len(j.request.Body)
+	}
+	return d
+}
+
 // attempt offers the request to a node and notes what became of it.
 func (j *job) attempt(ctx context.Context, target *endpoint.Entry) *wire.Response {
 	now := time.Now()
@@ -105,7 +115,7 @@
 			Service: time.Duration(response.ServiceMS) * time.Millisecond,
 			Shed:    response.Reason == outcome.ReasonTargetFull,
 			Full:    response.Reason == outcome.ReasonQueueFull,
-			Wait:    time.Duration(response.WaitMS) * time.Millisecond,
+			Wait:    time.Duration(response.WaitMS) * time.Millisecond, LinkWait: time.Duration(response.LinkWaitMS) * time.Millisecond,
 		}
 	}
 	result := routing.ResultOf(response.Outcome, response.Reason, response.Status)
@@ -146,6 +156,11 @@
 	if target.Node == h.settings.Node {
 		return checked(h.deps.Local(ctx, &request)), true
 	}
+	if len(request.Body) > transfer.InlineMax {
+		request.BodyBytes, request.FromAddress = len(request.Body), h.settings.Address
+		defer h.bodies.Add(request.ID, request.Body)()
+		request.Body = nil
+	}
 	callCtx, cancel := context.WithDeadline(ctx, j.limits.deadline.Add(answerGrace))
 	defer cancel()
 	reply := new(wire.Response)
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/ants/v2"
 
 	"wagtailford.example/server/coordination/admission"
+	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/endpoint"
@@ -49,6 +50,8 @@
 	Keys Keys
 	// UpdateSelf changes the entry of this node.
 	UpdateSelf func(func(*endpoint.Entry))
+	// Bodies fetches the bodies that requests only announce; nil if no sender does that.
+	Bodies *transfer.Inbox
 	// Crashed is called when the target was found to have crashed; it may be nil.
 	Crashed func()
 	Log     log.Interface
@@ -236,9 +239,40 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer e.attempts.add(r.From, r.ID, cancel)()
+	if reason := e.fetchBody(ctx, r, deadline); reason != outcome.ReasonNone {
+		return e.observe(r, e.count(refused(reason), r.Kind))
+	}
 	return e.observe(r, e.count(e.admit(ctx, r, deadline), r.Kind))
 }
 
+// fetchBody fetches the body of a request that only announces it. The body has to arrive so early that the target can
+// answer in time; where the target is full for longer, nothing is fetched.
+func (e *Executor) fetchBody(ctx context.Context, r *wire.Request, deadline time.Time) outcome.Reason {
+	if r.BodyBytes == 0 {
+		return outcome.ReasonNone
+	}
+	if e.deps.Bodies == nil {
+		return outcome.ReasonTooLarge
+	}
+	due := arrival(r, deadline).Due
+	if due.IsZero() {
+		due = deadline
+	}
+	load := e.Gate.Load(r.Kind)
+	due = due.Add(-load.Service)
+	if time.Now().Add(load.Wait).After(due) {
+		return outcome.ReasonQueueFull
+	}
+	body, reason, err := e.deps.Bodies.Fetch(ctx, r, due)
+	if err != nil {
+		e.deps.Log.WithError(err).WithFields(log.Fields{
+			"event": "body_not_received", "request": r.RequestID, "from": r.From, "bytes": r.BodyBytes,
+		}).Warn("body of a request not received")
+	}
+	r.Body = body
+	return reason
+}
+
 // count counts a response and adds the load of the node to a copy of it.
 func (e *Executor) count(r *wire.Response, kind uint32) *wire.Response {
 	switch r.Outcome {
@@ -259,6 +293,9 @@
 	loaded.Slots = load.Slots
 	loaded.WaitMS = load.Wait.Milliseconds()
 	loaded.ServiceMS = load.Service.Milliseconds()
+	if e.deps.Bodies != nil {
+		loaded.LinkWaitMS = e.deps.Bodies.Wait(0).Milliseconds()
+	}
 	return &loaded
 }
 
--- a/server/coordination/routing/choose.go
+++ b/server/coordination/routing/choose.go
@@ -51,6 +51,8 @@
 	// InUse and Queued are the last reported slots in use and queue length, ReportedMS the time of the report.
 	InUse, Queued int
 	ReportedMS    int64
+	// LinkWait is the time for which bodies occupied the node's link at the time of the report.
+	LinkWait time.Duration
 	// Others are the requests of other nodes at the target at the time of the report.
 	Others int
 	// Service is the service time that the target's node stated for the kind of request that is asked about; 0 if it
--- a/server/coordination/routing/score.go
+++ b/server/coordination/routing/score.go
@@ -27,6 +27,10 @@
 type Demand struct {
 	// Bytes is the expected size of request and answer together.
 	Bytes int
+	// Body is the size of a large body that the target's node has to fetch; 0 if there is none.
+	Body int
+	// Objective is the time within which an answer is of full use; 0 if there is none.
+	Objective time.Duration
 }
 
 // Weights are the settings of Cheapest.
@@ -82,6 +86,9 @@
 	cold := warmth(e, c.NowMS, c.Settings.SlowStart)
 	cost := time.Duration(float64(service)/max(cold, coldShareMin)) + s.Wait(e, c.NowMS, service)
 	cost += time.Duration(s.FaultsAt(c.NowMS) * float64(faultCost))
+	if e.Node != self {
+		cost += s.bodyTime(e, d.Body, c.NowMS)
+	}
 	random := float64(c.Random()>>11) / (1 << 53)
 	cost = time.Duration(float64(cost) * (1 - jitterShare/2 + jitterShare*random))
 	return cost + c.distanceCost(e, d, w, self)
@@ -103,13 +110,34 @@
 		return domainCost
 	}
 	kilobytes := float64(messageBytesMin+d.Bytes) / 1024
-	cost := domainCost + time.Duration(kilobytes*float64(w.DomainByteCost))
+	byteCost := time.Duration(kilobytes * float64(w.DomainByteCost))
+	if d.Objective > 0 {
+		// A wait beyond the objective costs the caller more than the bytes cost the operator.
+		byteCost = min(byteCost, d.Objective)
+	}
+	cost := domainCost + byteCost
 	if tier == tierAnywhere {
 		cost += w.RegionCost
 	}
 	return cost
 }
 
+// bodyTime returns the time until a large body is at a node: what other bodies on its link need, which fades with the age
+// of the report, and its own size.
+func (s Stat) bodyTime(e *endpoint.Entry, bytes int, nowMS int64) time.Duration {
+	if bytes == 0 || e.LinkMbps == 0 {
+		return 0
+	}
+	const bitsPerMbit = 1e6
+	own := time.Duration(float64(bytes) * 8 / (float64(e.LinkMbps) * bitsPerMbit) * float64(time.Second))
+	age := nowMS - s.ReportedMS
+	if age >= reportedMaxAge.Milliseconds() {
+		return own
+	}
+	remaining := min(1-float64(age)/float64(reportedMaxAge.Milliseconds()), 1)
+	return own + time.Duration(float64(s.LinkWait)*remaining)
+}
+
 // service returns the stated service time, or a low one if none was stated.
 func (s Stat) service() time.Duration {
 	if s.Service > 0 {
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -160,6 +160,8 @@
 	// arrives now would start.
 	Full bool
 	Wait time.Duration
+	// LinkWait is the time for which bodies occupy the link of the target's node.
+	LinkWait time.Duration
 }
 
 const (
@@ -210,6 +212,7 @@
 	if report != nil {
 		next.InUse = report.InUse
 		next.Queued = report.Queued
+		next.LinkWait = report.LinkWait
 		next.ReportedMS = nowMS
 		next.Others = max(report.InUse+report.Queued-next.Outstanding, 0)
 		own := kindStat{service: report.Service, fullUntilMS: report.fullUntilMS(nowMS)}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -22,6 +22,7 @@
 	"wagtailford.example/server/coordination/follow"
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/coordination/seeds"
+	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/endpoint"
@@ -168,6 +169,7 @@
 	}, execute.Dependencies{
 		View:       h.control.View,
 		UpdateSelf: h.control.UpdateSelf,
+		Bodies:     transfer.NewInbox(h.trafficPool.Call, s.Node.LinkMbps, int(s.Limits.BodyMax)),
 		Log:        log.Log,
 	})
 	if err != nil {
@@ -219,6 +221,7 @@
 	rules.PanicFraction = s.Membership.PanicFraction
 	h.dispatch = dispatch.New(dispatch.Settings{
 		Node:           s.Node.Name,
+		Address:        s.Listen.PeerAddress(),
 		Place:          routing.Place{FailureDomain: s.Node.FailureDomain, Region: s.Node.Region},
 		TriesMax:       triesMax,
 		DefaultTimeout: s.Routing.DefaultTimeout,
@@ -241,6 +244,7 @@
 	return h.serveRPC(map[string]any{
 		wire.ServiceControl: control.NewService(context.Background(), h.control),
 		wire.ServiceNode:    h.executor.Receiver(),
+		wire.ServiceBody:    h.dispatch.Bodies().Receiver(),
 	})
 }
 
--- a/server/protocol/outcome/outcome.go
+++ b/server/protocol/outcome/outcome.go
@@ -77,4 +77,6 @@
 	ReasonTargetFull Reason = "target_full"
 	// ReasonTargetReplaced means that another instance answers at the address of the target.
 	ReasonTargetReplaced Reason = "target_replaced"
+	// ReasonBodyNotReceived means that the body of the request did not reach the executing node.
+	ReasonBodyNotReceived Reason = "body_not_received"
 )
--- a/server/protocol/wire/body.go
+++ b/server/protocol/wire/body.go
@@ -6,8 +6,15 @@
 var (
 	_ peer.Bodied = (*Request)(nil)
 	_ peer.Bodied = (*Response)(nil)
+	_ peer.Bodied = (*BodyReply)(nil)
 )
 
+// WithoutBody returns an empty reply, and the piece.
+func (r *BodyReply) WithoutBody() (value any, body []byte) { return &BodyReply{}, r.Body }
+
+// SetBody sets the piece.
+func (r *BodyReply) SetBody(body []byte) { r.Body = body }
+
 // WithoutBody returns a copy without the body, and the body.
 func (r *Request) WithoutBody() (value any, body []byte) {
 	bare := *r
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -12,6 +12,7 @@
 	ServiceControl   = "Control"
 	ServiceNode      = "Node"
 	ServiceOwnership = "Ownership"
+	ServiceBody      = "Body"
 )
 
 // SyncArgs is a child's poll. It doubles as the child's heartbeat.
@@ -140,6 +141,21 @@
 	Kind uint32
 	// ObjectiveMS is the time that remains until an answer is late, in milliseconds; 0 or less if it is late already.
 	ObjectiveMS int64
+	// BodyBytes is the size of a body that is not in this message. The executing node fetches it from the node From at
+	// FromAddress, under ID.
+	BodyBytes   int
+	FromAddress string
+}
+
+// BodyArgs asks for the next piece of the body of an attempt.
+type BodyArgs struct {
+	ID     uint64
+	Offset int
+}
+
+// BodyReply is a piece of a body.
+type BodyReply struct {
+	Body []byte
 }
 
 // Response is the result of a request as it travels between nodes.
@@ -164,6 +180,8 @@
 	// WaitMS is the time until a request that arrives now would start, ServiceMS the mean time that requests of this
 	// kind take, in milliseconds.
 	WaitMS, ServiceMS int64
+	// LinkWaitMS is the time for which bodies that were announced before occupy the node's link, in milliseconds.
+	LinkWaitMS int64
 }
 
 // CancelArgs says that the caller of a request is gone.
--- a/server/transport/peer/codec.go
+++ b/server/transport/peer/codec.go
@@ -39,17 +39,33 @@
 func newMessageStream(conn net.Conn, limits Limits, counter *Counters) *messageStream {
 	s := &messageStream{
 		conn:    conn,
-		reader:  bufio.NewReader(conn),
 		writer:  &frameWriter{conn: conn, timeout: limits.WriteTimeout, max: limits.MaxMessageBytes, counter: counter},
 		max:     limits.MaxMessageBytes,
 		counter: counter,
 	}
+	s.reader = bufio.NewReader(&progressReader{conn: conn, lastRead: &s.lastRead})
 	s.decoder = gob.NewDecoder(&s.incoming)
 	s.encoder = gob.NewEncoder(&s.outgoing)
 	s.lastRead.Store(time.Now().UnixNano())
 	return s
 }
 
+// progressReader notes when bytes arrive. A large frame on a narrow link takes longer than the silence timeout, while its
+// bytes show that the other end is there.
+type progressReader struct {
+	conn     net.Conn
+	lastRead *atomic.Int64
+}
+
+// Read reads from the connection.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if n > 0 {
+		r.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // nextMessage reads frames until a data frame arrives and makes its payload available to the decoder.
 // It answers pings on the way.
 func (s *messageStream) nextMessage() error {
@@ -67,7 +83,6 @@
 			return err
 		}
 		s.counter.bytesReceived.Add(int64(len(payload) + frameHeaderBytes))
-		s.lastRead.Store(time.Now().UnixNano())
 		switch kind {
 		case framePing:
 			if err := s.writer.control(framePong); err != nil {
