Keep uploads that can be in time before late ones, and end requests of a stopping node with an answer

Bodies come in the order of arrival and are admitted if they arrive before the reserve of their kind; late callers wait 200 ms at most. A fetched body is not refused for being late. After a fetch the target's leave counts. A body whose last piece was not read certainly has not run, so its request is refused or offered elsewhere, not unknown. At the end of a shutdown the requests in flight get an answer 300 ms before the process ends.

--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -67,6 +67,9 @@
 	Priority int
 	// Far is true if the request comes from another failure domain.
 	Far bool
+	// Invested is true if its body was fetched for this target. Refusing it because it would be late wastes more than
+	// letting it be late.
+	Invested bool
 	// Due is when its answer is late; zero if it is never late before the deadline. Requests of a kind with a due time
 	// start in the order of these times and are refused when they would be late, the others start in the order of arrival.
 	Due time.Time
@@ -78,6 +81,7 @@
 	deadline time.Time
 	due      time.Time
 	kind     uint32
+	invested bool
 }
 
 // State is the state of admission at one target. It is changed by one caller at a time.
@@ -163,13 +167,13 @@
 	if len(q.waiting) >= s.settings.Queue {
 		return Refused, outcome.ReasonQueueFull
 	}
-	w := waiter{id: a.ID, deadline: a.Deadline, due: a.Due, kind: a.Kind}
+	w := waiter{id: a.ID, deadline: a.Deadline, due: a.Due, kind: a.Kind, invested: a.Invested}
 	at := q.place(w)
 	wait := s.wait(now, q, at)
 	if now.Add(wait).After(a.Deadline) {
 		return Refused, outcome.ReasonDeadline
 	}
-	if !a.Due.IsZero() && !q.admits(wait, s.patience(now, a), a.Far) {
+	if !a.Due.IsZero() && !a.Invested && !q.admits(wait, s.patience(now, a), a.Far) {
 		return Refused, outcome.ReasonQueueFull
 	}
 	q.waiting = slices.Insert(q.waiting, at, w)
@@ -212,6 +216,9 @@
 // KindTime returns the estimate of the service time of a kind: its own moving mean, or that of all requests.
 func (s *State) KindTime(kind uint32) time.Duration { return s.times.of(kind).mean }
 
+// Reserve returns the time that is kept free for a request of a kind before its due time.
+func (s *State) Reserve(kind uint32) time.Duration { return s.times.of(kind).beyond(dueReserve) }
+
 // Wait returns the time after which a request of a kind that arrives now would start.
 func (s *State) Wait(now time.Time, kind uint32) time.Duration {
 	if s.isFree(now) {
@@ -358,7 +365,7 @@
 	for len(q.waiting) > 0 && s.normal.waiting() > 1 {
 		w := q.waiting[0]
 		needed := time.Duration(hopelessShare * float64(s.KindTime(w.kind)))
-		if w.due.IsZero() || !now.Add(needed).After(w.due) {
+		if w.due.IsZero() || w.invested || !now.Add(needed).After(w.due) {
 			return
 		}
 		s.actions = append(s.actions, Action{ID: w.id, Reason: outcome.ReasonQueueFull})
--- a/server/coordination/admission/gate.go
+++ b/server/coordination/admission/gate.go
@@ -46,6 +46,8 @@
 	InUse, Queued, Slots int
 	// Wait is the time until a request that arrives now would start, Service how long one of its kind takes.
 	Wait, Service time.Duration
+	// Reserve is the time to keep free for one of its kind before its answer is late.
+	Reserve time.Duration
 }
 
 // Load returns the load for a kind of requests.
@@ -55,7 +57,7 @@
 	now := time.Now()
 	return Load{
 		InUse: g.state.InUse(), Queued: g.state.Queued(), Slots: g.state.Slots(now),
-		Wait: g.state.Wait(now, kind), Service: g.state.KindTime(kind),
+		Wait: g.state.Wait(now, kind), Service: g.state.KindTime(kind), Reserve: g.state.Reserve(kind),
 	}
 }
 
--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	// deadline is when the caller or the operator gives the request up, objective when an answer is late.
 	deadline, objective time.Time
 	attempts            int
+	// late is true if the caller has waited beyond the objective before.
+	late bool
 }
 
 // limitsOf returns the bounds of a request that arrived at now.
@@ -96,6 +98,7 @@
 	l.objective = l.deadline
 	if route.LatencyObjective > 0 {
 		l.objective = now.Add(min(objectiveLeft(route.LatencyObjective, elapsed), timeout))
+		l.late = elapsed >= route.LatencyObjective
 	}
 	return l
 }
--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -13,6 +13,7 @@
 
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/config"
@@ -278,3 +279,41 @@
 	assert.Equal(t, p.elapsed("r", 1500*time.Millisecond), 500*time.Millisecond)
 	assert.Equal(t, p.elapsed("r", 0), time.Duration(0))
 }
+
+// Guards against requests that a stopping node cuts off without an answer, and against a large request that is said to
+// have run perhaps although its body never left, or not to have run although a node has its whole body.
+func TestStopEndsRequests(t *testing.T) {
+	large := make([]byte, 2*transfer.PieceBytes)
+	cases := []struct {
+		name string
+		body []byte
+		read int
+		want outcome.Outcome
+	}{
+		{"small", []byte("b"), 0, outcome.Unknown},
+		{"body not fetched", large, 0, outcome.RefusedNotRun},
+		{"body fetched in part", large, 1, outcome.RefusedNotRun},
+		{"body fetched whole", large, 2, outcome.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMesh(script(hangs))
+			h := newHandler(m, testView(), 1)
+			h.deps.Call = func(ctx context.Context, address, method string, args, reply any) error {
+				if r, ok := args.(*wire.Request); ok {
+					assert.Equal(t, r.BodyBytes > 0, len(c.body) > transfer.InlineMax)
+					for i := range c.read {
+						err := h.Bodies().Receiver().Read(&wire.BodyArgs{ID: r.ID, Offset: i * transfer.PieceBytes}, new(wire.BodyReply))
+						assert.NilError(t, err)
+					}
+					go h.End()
+				}
+				return m.call(ctx, address, method, args, reply)
+			}
+			result := h.Do(t.Context(), &Request{ID: "q", Method: "POST", Host: "h", Path: "/w/1", Body: c.body})
+			assert.Equal(t, result.Outcome, c.want)
+			assert.Equal(t, result.Reason, outcome.ReasonShutdown)
+			assert.NilError(t, h.WaitIdle(t.Context()))
+		})
+	}
+}
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -46,7 +47,8 @@
 	retained atomic.Pointer[view.View]
 
 	mu       sync.Mutex
-	inFlight int
+	inFlight map[uint64]context.CancelCauseFunc
+	entered  uint64
 	// idle is closed when no request is in flight; nil if nobody waits for that.
 	idle chan struct{}
 }
@@ -59,6 +61,7 @@
 		tracker:  routing.NewTracker(s.Routing),
 		splitter: routing.NewSplitter(d.Random),
 		budget:   retry.NewFleetBudget(s.Repeats, 1),
+		inFlight: make(map[uint64]context.CancelCauseFunc),
 	}
 	h.attempt.Store(d.FirstAttemptID)
 	return h
@@ -66,8 +69,9 @@
 
 // Do takes a request to its outcome. The end of ctx means that the caller has gone.
 func (h *Handler) Do(ctx context.Context, r *Request) *Result {
-	h.enter()
-	defer h.leave()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer h.enter(cancel)()
 	trace := &Trace{Request: r, Started: time.Now()}
 	result := h.do(ctx, r, trace)
 	trace.Result = result
@@ -118,6 +122,7 @@
 			Kind:          kindOf(route),
 		},
 	}
+	j.request.Late = j.limits.late
 	trace.Service = j.service
 	return j.run(ctx)
 }
@@ -148,17 +153,21 @@
 // SetRepeats replaces the limit on repeats.
 func (h *Handler) SetRepeats(limit retry.FleetLimit) { h.budget.SetLimit(limit) }
 
-func (h *Handler) enter() {
+// enter counts a request as in flight until the returned function is called.
+func (h *Handler) enter(cancel context.CancelCauseFunc) (leave func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.inFlight++
+	h.entered++
+	id := h.entered
+	h.inFlight[id] = cancel
+	return func() { h.leave(id) }
 }
 
-func (h *Handler) leave() {
+func (h *Handler) leave(id uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.inFlight--
-	if h.inFlight == 0 && h.idle != nil {
+	delete(h.inFlight, id)
+	if len(h.inFlight) == 0 && h.idle != nil {
 		close(h.idle)
 		h.idle = nil
 	}
@@ -170,17 +179,29 @@
 // Refuse refuses all later requests as not run, because the node ends.
 func (h *Handler) Refuse() { h.refusing.Store(true) }
 
+// errStopping ends the requests that are still in flight at the end of a shutdown.
+var errStopping = errors.New("the node stops")
+
+// End ends the requests in flight, so that their callers get an answer before the process ends.
+func (h *Handler) End() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, cancel := range h.inFlight {
+		cancel(errStopping)
+	}
+}
+
 // InFlight returns the number of requests without an outcome.
 func (h *Handler) InFlight() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.inFlight
+	return len(h.inFlight)
 }
 
 // WaitIdle waits until no request is in flight, or until the end of ctx, which it returns as an error.
 func (h *Handler) WaitIdle(ctx context.Context) error {
 	h.mu.Lock()
-	if h.inFlight == 0 {
+	if len(h.inFlight) == 0 {
 		h.mu.Unlock()
 		return nil
 	}
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -158,7 +158,13 @@
 	}
 	if len(request.Body) > transfer.InlineMax {
 		request.BodyBytes, request.FromAddress = len(request.Body), h.settings.Address
-		defer h.bodies.Add(request.ID, request.Body)()
+		remove := h.bodies.Add(request.ID, request.Body)
+		defer func() {
+			if whole := remove(); !whole && !reported {
+				// The executing node does not have the whole body, and will not get it.
+				response = refuse(response.Reason)
+			}
+		}()
 		request.Body = nil
 	}
 	callCtx, cancel := context.WithDeadline(ctx, j.limits.deadline.Add(answerGrace))
@@ -183,6 +189,8 @@
 func lost(ctx context.Context, err error) *wire.Response {
 	reason := outcome.ReasonSilent
 	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		reason = outcome.ReasonShutdown
 	case ctx.Err() != nil:
 		reason = outcome.ReasonCanceled
 	case errors.Is(err, context.DeadlineExceeded):
--- a/server/coordination/execute/execute_test.go
+++ b/server/coordination/execute/execute_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/suspect"
@@ -285,3 +286,33 @@
 	assert.Equal(t, n.crashCounts()[0].Count, uint8(1))
 	assert.Equal(t, n.Counters.Crashes.Load(), int64(1))
 }
+
+// Guards against new work for a target that began to leave while the body of the request was on its way, and against a
+// body that is fetched although the target is known to be full for too long.
+func TestLeavingTargetGetsNoFetchedBody(t *testing.T) {
+	target := newTarget(t, func(*http.Request, *bufio.Reader) string { return okAnswer })
+	var n *testNode
+	leave := false
+	n = newNode(t, target.address, func(_ *Settings, d *Dependencies) {
+		d.Bodies = transfer.NewInbox(func(_ context.Context, _, _ string, _, reply any) error {
+			if leave {
+				leaving := n.Target()
+				leaving.Refuse = outcome.ReasonDraining
+				n.SetTarget(leaving)
+			}
+			reply.(*wire.BodyReply).Body = []byte("body")
+			return nil
+		}, 10, 1<<20)
+	})
+	announced := func() *wire.Request {
+		r := request("/")
+		r.Body, r.BodyBytes = nil, len("body")
+		return r
+	}
+	assert.Equal(t, n.Execute(t.Context(), announced()).Outcome, outcome.Answered)
+	leave = true
+	answer := n.Execute(t.Context(), announced())
+	assert.Equal(t, answer.Outcome, outcome.RefusedNotRun)
+	assert.Equal(t, answer.Reason, outcome.ReasonDraining)
+	assert.Equal(t, target.ran("/"), 1)
+}
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -254,13 +254,13 @@
 	if e.deps.Bodies == nil {
 		return outcome.ReasonTooLarge
 	}
-	due := arrival(r, deadline).Due
-	if due.IsZero() {
-		due = deadline
-	}
+	now := time.Now()
 	load := e.Gate.Load(r.Kind)
-	due = due.Add(-load.Service)
-	if time.Now().Add(load.Wait).After(due) {
+	due := arrival(r, deadline).Due.Add(-load.Reserve)
+	if r.Late || due.Before(now) {
+		due = now.Add(lateBodyWait)
+	}
+	if now.Add(load.Wait).After(due) {
 		return outcome.ReasonQueueFull
 	}
 	body, reason, err := e.deps.Bodies.Fetch(ctx, r, due)
@@ -270,9 +270,17 @@
 		}).Warn("body of a request not received")
 	}
 	r.Body = body
+	if refuse := e.Target().Refuse; reason == outcome.ReasonNone && refuse != outcome.ReasonNone {
+		// The target began to leave while the body was on its way.
+		return refuse
+	}
 	return reason
 }
 
+// lateBodyWait is how long the body of a request that is late already may take. Where more bodies come than the link
+// carries, those that can still be in time go first.
+const lateBodyWait = 200 * time.Millisecond
+
 // count counts a response and adds the load of the node to a copy of it.
 func (e *Executor) count(r *wire.Response, kind uint32) *wire.Response {
 	switch r.Outcome {
@@ -336,7 +344,7 @@
 
 // arrival describes a request to the gate.
 func arrival(r *wire.Request, deadline time.Time) admission.Arrival {
-	a := admission.Arrival{Deadline: deadline, Kind: r.Kind, Priority: r.Priority, Far: r.Far}
+	a := admission.Arrival{Deadline: deadline, Kind: r.Kind, Priority: r.Priority, Far: r.Far, Invested: r.BodyBytes > 0}
 	if r.ObjectiveMS > 0 {
 		a.Due = deadline.Add(time.Duration(r.ObjectiveMS-r.TimeoutMS) * time.Millisecond)
 	}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -269,7 +269,7 @@
 func refusalResult(reason outcome.Reason) Result {
 	switch reason {
 	case outcome.ReasonConnectFailed, outcome.ReasonTargetDown, outcome.ReasonNotReady, outcome.ReasonShutdown,
-		outcome.ReasonDraining, outcome.ReasonNoTarget:
+		outcome.ReasonDraining, outcome.ReasonNoTarget, outcome.ReasonSilent, outcome.ReasonBodyNotReceived:
 		return Unreachable
 	case outcome.ReasonNotEligible, outcome.ReasonSelfFenced, outcome.ReasonTargetReplaced:
 		return Failed
--- a/server/coordination/transfer/outbox.go
+++ b/server/coordination/transfer/outbox.go
@@ -17,22 +17,45 @@
 // use, and safe for concurrent use.
 type Outbox struct {
 	mu     sync.Mutex
-	bodies map[uint64][]byte
+	bodies map[uint64]*offer
 }
 
-// Add offers a body until the returned function is called.
-func (o *Outbox) Add(id uint64, body []byte) (remove func()) {
+// offer is a body that can be fetched.
+type offer struct {
+	body []byte
+	// whole is true after its last piece was handed out.
+	whole bool
+}
+
+// Add offers a body until the returned function is called. That function reports whether the last piece was handed out
+// before: without it, no node can have run the request, or will.
+func (o *Outbox) Add(id uint64, body []byte) (remove func() (whole bool)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.bodies == nil {
-		o.bodies = make(map[uint64][]byte)
+		o.bodies = make(map[uint64]*offer)
 	}
-	o.bodies[id] = body
-	return func() {
+	own := &offer{body: body}
+	o.bodies[id] = own
+	return func() bool {
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		delete(o.bodies, id)
+		return own.whole
+	}
+}
+
+// piece returns the piece of a body from an offset on.
+func (o *Outbox) piece(id uint64, offset int) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	own, offered := o.bodies[id]
+	if !offered || offset < 0 || offset > len(own.body) {
+		return nil, errNoBody
 	}
+	end := min(offset+PieceBytes, len(own.body))
+	own.whole = own.whole || end == len(own.body)
+	return own.body[offset:end], nil
 }
 
 // Receiver returns the net/rpc receiver, to be registered as wire.ServiceBody.
@@ -45,13 +68,7 @@
 
 // Read returns the next piece of a body. The error means that the body is not offered any more.
 func (r *Receiver) Read(args *wire.BodyArgs, reply *wire.BodyReply) error {
-	r.outbox.mu.Lock()
-	body, offered := r.outbox.bodies[args.ID]
-	r.outbox.mu.Unlock()
-	if !offered || args.Offset < 0 || args.Offset > len(body) {
-		return errNoBody
-	}
-	end := min(args.Offset+PieceBytes, len(body))
-	reply.Body = body[args.Offset:end]
-	return nil
+	piece, err := r.outbox.piece(args.ID, args.Offset)
+	reply.Body = piece
+	return err
 }
--- a/server/coordination/transfer/schedule.go
+++ b/server/coordination/transfer/schedule.go
@@ -23,7 +23,7 @@
 	// concurrentMax limits the bodies at a time on a wide link, or on one of unknown bandwidth.
 	concurrentMax = 64
 	// usableShare is the part of the link's bandwidth that bodies are expected to get beside other traffic.
-	usableShare = 0.8
+	usableShare = 0.9
 	// bitsPerMbit converts the bandwidth of a link.
 	bitsPerMbit = 1e6
 )
@@ -40,9 +40,11 @@
 type Schedule struct {
 	bytesPerSecond float64
 	concurrent     int
-	running        map[uint64]int
-	// waiting is in the order of due times.
+	// running are the bytes that are left of the bodies on their way.
+	running map[uint64]int
+	// waiting is in the order of arrival, so that a body which was admitted is not overtaken until it is late.
 	waiting []Arrival
+	// backlog are the bytes that are left of all bodies.
 	backlog int
 }
 
@@ -70,19 +72,7 @@
 // Admit takes a body, and reports whether it will arrive in time. start is true if it is fetched at once; otherwise it
 // is returned by a later call of End.
 func (s *Schedule) Admit(now time.Time, a Arrival) (admitted, start bool) {
-	before := 0
-	for _, bytes := range s.running {
-		before += bytes
-	}
-	at := len(s.waiting)
-	for i, w := range s.waiting {
-		if w.Due.After(a.Due) {
-			at = i
-			break
-		}
-		before += w.Bytes
-	}
-	if now.Add(s.timeOf(before + a.Bytes)).After(a.Due) {
+	if now.Add(s.Wait(a.Bytes)).After(a.Due) {
 		return false, false
 	}
 	s.backlog += a.Bytes
@@ -90,7 +80,7 @@
 		s.running[a.ID] = a.Bytes
 		return true, true
 	}
-	s.waiting = slices.Insert(s.waiting, at, a)
+	s.waiting = append(s.waiting, a)
 	return true, false
 }
 
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -320,9 +320,15 @@
 			Info("callers have not left; new requests are refused")
 	}
 	h.dispatch.Refuse()
+	deadline, _ := ctx.Deadline()
+	last := time.AfterFunc(time.Until(deadline)-answerTime, h.dispatch.End)
+	defer last.Stop()
 	return errors.Join(h.dispatch.WaitIdle(ctx), h.executor.WaitIdle(ctx))
 }
 
+// answerTime is the time in which callers get an answer whose requests have no outcome at the end of a shutdown.
+const answerTime = 300 * time.Millisecond
+
 // finishSlack is the time beside the longest timeout of a route in which requests in flight end.
 const finishSlack = 500 * time.Millisecond
 
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -141,6 +141,8 @@
 	Kind uint32
 	// ObjectiveMS is the time that remains until an answer is late, in milliseconds; 0 or less if it is late already.
 	ObjectiveMS int64
+	// Late is true if the caller has returned after a refusal and has waited beyond the objective already.
+	Late bool
 	// BodyBytes is the size of a body that is not in this message. The executing node fetches it from the node From at
 	// FromAddress, under ID.
 	BodyBytes   int
