Do not take requests of callers that left before a busy node read them

A node that was held up finds request and end of the connection together in the socket; the library notices the end in a goroutine of its own, which ran after the handler had sent the request on.

Before a request is handled, the socket is asked whether the caller has closed. TestCallerHasLeft accepts connections late: both requests of callers that had left were handled before this change, none after it; pipelined requests are not affected.

--- a/server/daemon/connections.go
+++ b/server/daemon/connections.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +52,15 @@
 	listener *trackedListener
 }
 
+// SyscallConn gives access to the socket.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *trackedConn) Close() error {
 	c.listener.mu.Lock()
--- a/server/transport/httpserver/conn.go
+++ b/server/transport/httpserver/conn.go
@@ -9,9 +9,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"wagtailford.example/server/transport/socket"
 )
 
 // listener closes connections beyond a maximum at once and knows the open ones.
@@ -45,7 +48,7 @@
 			accepted.Close()
 			continue
 		}
-		c := &conn{Conn: accepted, listener: l, waitingSince: time.Now()}
+		c := &conn{Conn: accepted, listener: l, waitingSince: time.Now(), raw: socket.Raw(accepted)}
 		// The library sets a time limit only when it reads the second request of a connection.
 		if l.limits.ReadTimeout > 0 {
 			_ = accepted.SetReadDeadline(time.Now().Add(l.limits.ReadTimeout))
@@ -117,7 +120,9 @@
 type conn struct {
 	net.Conn
 	listener *listener
-	removed  atomic.Bool
+	// raw gives access to the socket; nil if the connection has none.
+	raw     syscall.RawConn
+	removed atomic.Bool
 
 	mu    sync.Mutex
 	phase phase
@@ -139,8 +144,12 @@
 	c.requests++
 }
 
-// begin reports false if the connection has been closed.
+// begin reports false if the connection has been closed, by this end or by the caller. The library notices a caller that
+// has left in a goroutine of its own, which a busy process may run after the handler.
 func (c *conn) begin() bool {
+	if c.raw != nil && socket.IsClosed(c.raw) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == closed {
--- a/server/transport/httpserver/httpserver_test.go
+++ b/server/transport/httpserver/httpserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -173,3 +174,56 @@
 		}
 	}
 }
+
+// lateListener accepts connections only after release, as a process that was held up does.
+type lateListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.Listener.Accept()
+}
+
+// Guards against a request that is taken from a caller which had left before a busy process read it, and against one of a
+// caller that is still there, or has sent the next request already, which is dropped.
+func TestCallerHasLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	late := &lateListener{Listener: listener, release: make(chan struct{})}
+	handled := make(chan string, 8)
+	s := New(late, limits())
+	s.Use(func(ctx context.Context, c *app.RequestContext) {
+		handled <- string(c.Request.Body())
+		echo(ctx, c)
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	t.Cleanup(func() {
+		_ = Shutdown(s, time.Millisecond)
+		<-ended
+	})
+	post := func(body string) string {
+		return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	for range 2 {
+		gone, _ := dial(t, listener.Addr().String())
+		_, err = io.WriteString(gone, post("gone"))
+		assert.NilError(t, err)
+		assert.NilError(t, gone.Close())
+	}
+	stays, r := dial(t, listener.Addr().String())
+	_, err = io.WriteString(stays, post("first")+post("second"))
+	assert.NilError(t, err)
+	close(late.release)
+	for range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, <-handled, "first")
+	assert.Equal(t, <-handled, "second")
+	assert.Equal(t, len(handled), 0)
+}
--- a/server/transport/socket/socket.go
+++ b/server/transport/socket/socket.go
@@ -2,7 +2,9 @@
 package socket
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"syscall"
 	"time"
 
@@ -24,3 +26,33 @@
 	}
 	return nil
 }
+
+// Raw returns the socket of a connection, or of the one that it wraps; nil if there is none.
+func Raw(c net.Conn) syscall.RawConn {
+	wrapped, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := wrapped.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+// IsClosed reports whether the other end has closed a connection and nothing more can be read from it. It does not wait,
+// also not for a read in progress.
+func IsClosed(raw syscall.RawConn) bool {
+	closed := false
+	err := raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == nil:
+			closed = n == 0
+		default:
+			closed = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		}
+	})
+	return err != nil || closed
+}
