Look at a sample of other failure domains only where the own one costs more

It went through all members twice, built a list of them and took a lock for each. Nodes that had just refused a kind as full were offered it again in the own domain.

Candidates are kept for each view, those of the own domain first. Others are compared only where the best near one costs more than the way to them, and then 24, in an order of the node's own, so that nodes use different ones and keep connections to few. A near node that refused a kind is left out as long as a far one was before, this node itself is not. TestSampleOfOtherDomains counts the targets that are looked at (at most near + 24 of 300; before, all).

--- /dev/null
+++ b/server/coordination/dispatch/bench_test.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/view"
+)
+
+// largeView has targets of one service in several failure domains.
+func largeView(domains, perDomain int) *view.View {
+	v := testView()
+	v.ByService["s"] = nil
+	clear(v.Nodes)
+	for d := range domains {
+		for i := range perDomain {
+			e := &endpoint.Entry{
+				Node: fmt.Sprintf("n%d-%d", d, i), Address: "n1", Service: "s", Slots: 12, FailureDomain: "d",
+				Key: endpoint.Key{State: endpoint.Alive, Revision: 1},
+			}
+			if d > 0 {
+				e.FailureDomain = fmt.Sprintf("d%d", d)
+			}
+			v.Nodes[e.Node] = e
+			v.ByService["s"] = append(v.ByService["s"], e)
+		}
+	}
+	return v
+}
+
+// BenchmarkDo takes requests to a target that answers at once, by the number of targets of the service.
+func BenchmarkDo(b *testing.B) {
+	for _, perDomain := range []int{2, 40} {
+		b.Run(fmt.Sprintf("targets=%d", 6*perDomain), func(b *testing.B) {
+			h := newHandler(newMesh(script()), largeView(6, perDomain), 1)
+			r := &Request{ID: "q", Method: "GET", Host: "h", Path: "/r/1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				h.Do(b.Context(), r)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/server/coordination/dispatch/candidates.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"sync"
+
+	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/view"
+)
+
+// candidates are the members of a service that may take new work, those of the own failure domain first.
+type candidates struct {
+	entries []*endpoint.Entry
+	near    int
+}
+
+// candidateCache keeps the candidates of each service for one view. Without it, each choice would go through all members
+// of the service. It is safe for concurrent use.
+type candidateCache struct {
+	mu       sync.Mutex
+	view     *view.View
+	services map[string]candidates
+}
+
+func (c *candidateCache) of(v *view.View, service string, s *Settings) candidates {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view != v {
+		c.view = v
+		c.services = make(map[string]candidates)
+	}
+	list, known := c.services[service]
+	if !known {
+		members := routing.Candidates(v.ByService[service], nil, s.Routing.PanicFraction)
+		list.entries, list.near = routing.Partition(members, s.Place, s.Node)
+		c.services[service] = list
+	}
+	return list
+}
--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -12,7 +12,6 @@
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/config"
-	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/state/view"
 )
 
@@ -111,8 +110,3 @@
 	}
 	return objective - elapsed
 }
-
-// candidates returns the members of a service that may take new work.
-func (h *Handler) candidates(v *view.View, service string) []*endpoint.Entry {
-	return routing.Candidates(v.ByService[service], nil, h.settings.Routing.PanicFraction)
-}
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -37,6 +37,8 @@
 	budget   *retry.FleetBudget
 	sizes    sizes
 	patience patience
+	// candidates are those of the newest view that a request used.
+	candidates candidateCache
 	// bodies are the large bodies of requests in progress.
 	bodies   transfer.Outbox
 	attempt  atomic.Uint64
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -73,18 +73,22 @@
 // choose returns the next target, or nil if there is none that the request was not offered to.
 func (j *job) choose() *endpoint.Entry {
 	now := time.Now().UnixMilli()
-	candidates := j.h.candidates(j.view, j.service)
-	target := routing.Cheapest(&routing.Choice{
-		Candidates: candidates,
-		Stat:       func(node string) routing.Stat { return j.h.tracker.StatOf(node, j.request.Kind) },
-		DomainFull: func(domain string) bool { return j.h.domains.IsFull(domain, j.request.Kind, now) },
-		Exclude:    j.tried,
-		Place:      j.h.settings.Place,
-		NowMS:      now,
-		Settings:   j.h.settings.Routing,
-		Random:     j.h.deps.Random,
-	}, j.demand(), j.h.settings.Weights, j.h.settings.Node)
-	if target == nil && len(candidates) > 0 && j.lastRefusal == outcome.ReasonNoTarget {
+	list := j.h.candidates.of(j.view, j.service, &j.h.settings)
+	var target *endpoint.Entry
+	j.h.tracker.Read(j.request.Kind, func(statOf func(string) routing.Stat) {
+		target = routing.Cheapest(&routing.Choice{
+			Candidates: list.entries,
+			NearCount:  list.near,
+			Stat:       statOf,
+			DomainFull: func(domain string) bool { return j.h.domains.IsFull(domain, j.request.Kind, now) },
+			Exclude:    j.tried,
+			Place:      j.h.settings.Place,
+			NowMS:      now,
+			Settings:   j.h.settings.Routing,
+			Random:     j.h.deps.Random,
+		}, j.demand(), j.h.settings.Weights, j.h.settings.Node)
+	})
+	if target == nil && len(list.entries) > 0 && j.lastRefusal == outcome.ReasonNoTarget {
 		// Every candidate counts as full.
 		j.lastRefusal = outcome.ReasonQueueFull
 	}
--- a/server/coordination/routing/choose.go
+++ b/server/coordination/routing/choose.go
@@ -131,6 +131,8 @@
 // Choice is the input of Choose.
 type Choice struct {
 	Candidates []*endpoint.Entry
+	// NearCount is the number of candidates of the own failure domain, which come first. Only Cheapest uses it.
+	NearCount int
 	// Stat returns this node's observations of a node.
 	Stat func(node string) Stat
 	// DomainFull reports whether another failure domain is known to be full; nil if that is not known of any.
--- a/server/coordination/routing/score.go
+++ b/server/coordination/routing/score.go
@@ -42,43 +42,75 @@
 	RegionCost time.Duration
 }
 
+// farSample limits the candidates of other failure domains that are compared for one request. Among some tens the best one
+// is nearly as good as among all, a choice costs the same in a fleet of any size, and a node has connections to few others.
+const farSample = 24
+
 // Cheapest returns the candidate with the least expected time to an answer, with the cost of its distance and of its
 // recent faults added; nil if there is none. Candidates in Exclude are left out. An ejected candidate is taken only if
-// there is no other.
+// there is no other. Candidates of other failure domains are looked at only where the best one nearby costs more than the
+// way to them.
 //
-// A node of another failure domain that has just refused a request of this kind as full is left out, and so are all of
-// a domain that is known to be full. When all domains are full, each offer to another one costs bytes between them and
-// ends in a refusal.
+// A node that has just refused a request of this kind as full is left out, unless it is this one, and so are all nodes of
+// another domain that is known to be full. Where all are full, each offer costs processor time and bytes and ends in a
+// refusal.
 //
 // It answers three load patterns: near targets are used up to the point at which a wait there is worse than the way to
 // another failure domain; slow targets get less work than fast ones; and a target that fails part of its requests while
 // its health is good gets little work without a verdict that could hit all targets at once.
 func Cheapest(c *Choice, d Demand, w Weights, self string) *endpoint.Entry {
-	var best, fallback *endpoint.Entry
-	var bestCost, fallbackCost time.Duration
-	for _, e := range c.Candidates {
-		if c.Exclude[e.Node] {
-			continue
-		}
-		s := c.Stat(e.Node)
-		if c.Place.tier(e) != tierDomain && (c.NowMS < s.FullUntilMS || c.isDomainFull(e)) {
-			continue
-		}
-		cost := c.cost(e, s, d, w, self)
-		if !s.Usable(c.NowMS) {
-			if fallback == nil || cost < fallbackCost {
-				fallback, fallbackCost = e, cost
-			}
+	var p pick
+	near, far := c.Candidates[:c.NearCount], c.Candidates[c.NearCount:]
+	for _, e := range near {
+		c.consider(&p, e, d, w, self)
+	}
+	if len(far) == 0 || p.best != nil && p.bestCost <= c.distanceCost(far[0], d, w, self) {
+		return p.result()
+	}
+	considered := 0
+	for _, e := range far {
+		if c.isDomainFull(e) || !c.consider(&p, e, d, w, self) {
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+		if considered++; considered == farSample {
+			break
 		}
 	}
-	if best == nil {
-		return fallback
+	return p.result()
+}
+
+// pick is the best candidate so far, and the best one among those that are ejected.
+type pick struct {
+	best, fallback         *endpoint.Entry
+	bestCost, fallbackCost time.Duration
+}
+
+func (p *pick) result() *endpoint.Entry {
+	if p.best == nil {
+		return p.fallback
+	}
+	return p.best
+}
+
+// consider compares a candidate with the best one so far. It returns false if the candidate is left out.
+func (c *Choice) consider(p *pick, e *endpoint.Entry, d Demand, w Weights, self string) bool {
+	if c.Exclude[e.Node] {
+		return false
+	}
+	s := c.Stat(e.Node)
+	if c.NowMS < s.FullUntilMS && e.Node != self {
+		return false
+	}
+	cost := c.cost(e, s, d, w, self)
+	switch {
+	case !s.Usable(c.NowMS):
+		if p.fallback == nil || cost < p.fallbackCost {
+			p.fallback, p.fallbackCost = e, cost
+		}
+	case p.best == nil || cost < p.bestCost:
+		p.best, p.bestCost = e, cost
 	}
-	return best
+	return true
 }
 
 func (c *Choice) cost(e *endpoint.Entry, s Stat, d Demand, w Weights, self string) time.Duration {
--- a/server/coordination/routing/score_test.go
+++ b/server/coordination/routing/score_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	}
 	return &Choice{
 		Candidates: []*endpoint.Entry{entry("self", "d1"), entry("near", "d1"), entry("far", "d2")},
+		NearCount:  2,
 		Stat:       func(node string) Stat { return stats[node] },
 		Place:      Place{FailureDomain: "d1", Region: "r"},
 		NowMS:      scoreNow,
@@ -198,3 +201,47 @@
 	_, ok := MatchHost(nil, "h1", "/a/")
 	assert.Assert(t, !ok)
 }
+
+// Guards against a choice that goes through a whole large fleet, against nodes that all use the same few targets of other
+// failure domains, and against a full sample that hides free targets behind it.
+func TestSampleOfOtherDomains(t *testing.T) {
+	const domains, perDomain = 6, 50
+	var members []*endpoint.Entry
+	for d := range domains {
+		for i := range perDomain {
+			members = append(members, &endpoint.Entry{
+				Node: fmt.Sprintf("n%d-%d", d, i), FailureDomain: fmt.Sprintf("d%d", d), Region: "r", Slots: 12,
+				Key: endpoint.Key{State: endpoint.Alive},
+			})
+		}
+	}
+	chosen := make(map[string]int)
+	for self := range perDomain {
+		name := fmt.Sprintf("n0-%d", self)
+		place := Place{FailureDomain: "d0", Region: "r"}
+		ordered, near := Partition(members, place, name)
+		assert.Equal(t, near, perDomain)
+		asked := 0
+		choice := &Choice{
+			Candidates: ordered, NearCount: near, Place: place, NowMS: scoreNow, Settings: DefaultSettings(),
+			Random: func() uint64 { return 1 << 63 },
+			Stat: func(node string) Stat {
+				asked++
+				if strings.HasPrefix(node, "n0-") {
+					return loaded(100, time.Second)
+				}
+				return loaded(0, 100*time.Millisecond)
+			},
+		}
+		e := Cheapest(choice, Demand{}, Weights{}, name)
+		assert.Equal(t, asked, perDomain+farSample)
+		chosen[e.Node]++
+		full := make(map[string]bool)
+		choice.Exclude = full
+		for _, f := range ordered[:near+2*farSample] {
+			full[f.Node] = true
+		}
+		assert.Assert(t, Cheapest(choice, Demand{}, Weights{}, name) != nil)
+	}
+	assert.Assert(t, len(chosen) > perDomain/2, "%d targets chosen by %d nodes", len(chosen), perDomain)
+}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -78,12 +78,24 @@
 func (t *Tracker) StatOf(node string, kind uint32) Stat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.statOf(node, kind)
+}
+
+func (t *Tracker) statOf(node string, kind uint32) Stat {
 	if o := t.nodes[node]; o != nil {
 		return o.of(kind)
 	}
 	return Stat{}
 }
 
+// Read calls read with a function that returns the observations of a node for a kind of requests. No observation changes
+// meanwhile, and read must not call the tracker.
+func (t *Tracker) Read(kind uint32, read func(statOf func(node string) Stat)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	read(func(node string) Stat { return t.statOf(node, kind) })
+}
+
 // Attempt is one request that a Tracker counts as outstanding.
 type Attempt struct {
 	stat  *observed
@@ -188,6 +200,9 @@
 
 // FaultsAt returns the share of faults at a time.
 func (s Stat) FaultsAt(nowMS int64) float64 {
+	if s.Faults == 0 {
+		return 0
+	}
 	age := max(nowMS-s.FaultsMS, 0)
 	return s.Faults * math.Exp2(-float64(age)/float64(faultHalfLife.Milliseconds()))
 }
