Let a starting node wait for a reader before it reads the configuration itself

Each node that starts read the newest configuration from the store and waited there for the first one, because it has every role until it knows others: two of about 4.7 calls a node.

Ruled out: leaving out the directory (a node would not find others).

A node reads at once if it is a reader among the nodes of the directory, if it is alone, or if the directory cannot be read; otherwise when its roles are known, or after 1.2 s. Readers beyond the first two of a failure domain ask the store to wait 6 s in place of 2 s; the others cover a read that hangs. Tests: TestFewNodesReadAtStart (four of 50 in each of six domains), TestReadingBeginsWhenRolesAreKnown.

--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -41,6 +41,8 @@
 type WholeSettings struct {
 	// PollWait is how long the source is asked to wait for a publication.
 	PollWait time.Duration
+	// BackupWait takes its place while others read for this node too.
+	BackupWait time.Duration
 	// RetryMin and RetryMax bound the delay after a failed read.
 	RetryMin, RetryMax time.Duration
 	// Pause is the time between two reads that found something, so that publications in quick succession are
@@ -65,6 +67,8 @@
 	logger   log.Interface
 	// passed is the highest offset that was read, installed or not.
 	passed uint64
+	// backup is true while others read for this node too.
+	backup atomic.Bool
 	// failing is true from a failed read to the next one that succeeds.
 	failing bool
 }
@@ -149,9 +153,15 @@
 	if f.failing {
 		return 0
 	}
+	if f.backup.Load() {
+		return f.settings.BackupWait
+	}
 	return f.settings.PollWait
 }
 
+// SetBackup says whether others read for this node too. It may be called at any time.
+func (f *WholeFollower) SetBackup(backup bool) { f.backup.Store(backup) }
+
 // reject passes a publication over; the configuration in force stays.
 func (f *WholeFollower) reject(offset uint64, err error) {
 	f.passed = max(f.passed, offset)
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -70,6 +70,11 @@
 	// sourcePause is the time between two reads of configurations in quick succession. Each is complete in itself, so
 	// only the newest has to be installed, and the pause is small against the time in which it has to be in force.
 	sourcePause = 700 * time.Millisecond
+	// backupWait replaces sourceWait at readers beyond the first ones of a failure domain. A change does not wait for them
+	// where their read hangs, so they need not ask as often.
+	backupWait = 6 * time.Second
+	// firstReaders are the readers of a failure domain that ask often.
+	firstReaders = 2
 	// hostedSlack is how much longer than the hold time a poll may take. A node whose parent vanishes has the next
 	// configuration from another one within the time in which it has to be in force.
 	hostedSlack = 500 * time.Millisecond
@@ -82,7 +87,7 @@
 
 	platform  Platform
 	follower  *follow.WholeFollower
-	reading   *duty
+	reading   *reading
 	executor  *execute.Executor
 	registrar *announce.Registrar
 	dispatch  *dispatch.Handler
@@ -100,7 +105,7 @@
 func NewHosted(s *settings.Settings, p Platform) (*Hosted, error) {
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
 	debug.SetGCPercent(collectPercentMin)
-	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p, reading: newDuty()}
+	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p, reading: newReading()}
 	h.live.Store(s)
 	h.observer = newObserver(log.Log)
 	h.listeners = &listeners{}
@@ -130,14 +135,15 @@
 		declaredDead:  func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
 	})
 	h.follower = follow.NewWhole(h.platform.Source(), h.control, follow.WholeSettings{
-		PollWait: sourceWait, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, Pause: sourcePause,
+		PollWait: sourceWait, BackupWait: backupWait, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, Pause: sourcePause,
 	}, log.Log)
 	return nil
 }
 
 func (h *Hosted) rolesChanged(r fanout.Roles) {
 	h.syncer.SetRoles(r)
-	h.reading.set(r.ReadsLog)
+	h.follower.SetBackup(r.Rank >= firstReaders)
+	h.reading.ask(r.ReadsLog)
 	log.WithFields(log.Fields{
 		"event": "roles", "follower": r.Follower, "relay": r.Relay, "rank": r.Rank, "parent": r.Parent().Node,
 	}).Info("roles changed")
--- a/server/daemon/meet.go
+++ b/server/daemon/meet.go
@@ -37,6 +37,9 @@
 			err = h.findNodes(ctx)
 			looked = err == nil
 		}
+		if err != nil {
+			h.reading.begin()
+		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
 			h.observer.dependency("directory", err)
@@ -71,6 +74,11 @@
 	}
 	current, expired := seeds.Current(records, h.settings.Node.Name, time.Now())
 	h.syncer.SetSeeds(h.contacts(current))
+	if readsAmong(h.selfEntry(), entriesOf(current), h.shape()) {
+		h.reading.begin()
+	} else {
+		time.AfterFunc(firstReadWait, h.reading.begin)
+	}
 	log.WithFields(log.Fields{"event": "directory", "nodes": len(current), "expired": len(expired)}).Info("nodes found")
 	for _, node := range expired {
 		if err := h.platform.Directory().Remove(ctx, node); err != nil {
@@ -82,13 +90,24 @@
 
 // contacts orders the nodes of the directory, with the seeds of the settings behind them.
 func (h *Hosted) contacts(records []seeds.Record) fanout.Contacts {
+	contacts := h.shape().ContactsOf(h.settings.Node.FailureDomain, entriesOf(records))
+	contacts.Addresses = append(contacts.Addresses, h.settings.Node.Seeds...)
+	return contacts
+}
+
+func entriesOf(records []seeds.Record) []*endpoint.Entry {
 	entries := make([]*endpoint.Entry, 0, len(records))
 	for _, r := range records {
 		entries = append(entries, &endpoint.Entry{
 			Node: r.Node, Address: r.Address, FailureDomain: r.FailureDomain, LinkMbps: r.LinkMbps,
 		})
 	}
-	contacts := h.shape().ContactsOf(h.settings.Node.FailureDomain, entries)
-	contacts.Addresses = append(contacts.Addresses, h.settings.Node.Seeds...)
-	return contacts
+	return entries
+}
+
+// selfEntry is this node as others find it in the directory.
+func (h *Hosted) selfEntry() *endpoint.Entry {
+	return &endpoint.Entry{
+		Node: h.settings.Node.Name, FailureDomain: h.settings.Node.FailureDomain, LinkMbps: uint32(h.settings.Node.LinkMbps),
+	}
 }
--- /dev/null
+++ b/server/daemon/reading_test.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/coordination/fanout"
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Guards against a fleet that starts at once in which every node reads the configuration from the store, and against one
+// in which none does.
+func TestFewNodesReadAtStart(t *testing.T) {
+	const domains, perDomain = 6, 50
+	shape := fanout.Shape{Mode: fanout.ModeTree, FollowersPerDomain: 4, RelayChildren: 16}
+	var all []*endpoint.Entry
+	for d := range domains {
+		for i := range perDomain {
+			all = append(all, &endpoint.Entry{Node: fmt.Sprintf("n%d-%d", d, i), FailureDomain: fmt.Sprintf("d%d", d)})
+		}
+	}
+	readers := make(map[string]int)
+	for i, self := range all {
+		others := append(append([]*endpoint.Entry(nil), all[:i]...), all[i+1:]...)
+		if readsAmong(self, others, shape) {
+			readers[self.FailureDomain]++
+		}
+	}
+	assert.Equal(t, len(readers), domains)
+	for domain, n := range readers {
+		assert.Equal(t, n, shape.FollowersPerDomain, domain)
+	}
+	assert.Assert(t, readsAmong(all[0], nil, shape), "a node that is alone reads")
+}
+
+// Guards against a node that reads before it knows whether others do, and against roles that are forgotten meanwhile.
+func TestReadingBeginsWhenRolesAreKnown(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		r := newReading()
+		r.ask(!asked)
+		r.ask(asked)
+		ctx, cancel := context.WithCancel(t.Context())
+		started := make(chan struct{}, 8)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			r.run(ctx, func(ctx context.Context) {
+				started <- struct{}{}
+				<-ctx.Done()
+			})
+		}()
+		assert.Equal(t, len(started), 0)
+		r.begin()
+		r.begin()
+		if asked {
+			<-started
+		} else {
+			r.ask(true)
+			<-started
+		}
+		cancel()
+		<-ended
+		assert.Equal(t, len(started), 0)
+	}
+}
