Give up a response that begins with informational ones without end

The users' pages say that bytes that are no answer may come without end. A table of eleven such streams against the client (head, fields, chunks, trailers, body) showed one that was read until the deadline of its request: informational responses, one after the other, each within the limits.

At most eight are passed over.

--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -253,9 +253,12 @@
 	return nil
 }
 
+// informationalMax limits the informational responses before a final one. A server in trouble sends them without end.
+const informationalMax = 8
+
 // readHeaders reads the headers of the final response and skips informational ones.
 func readHeaders(resp *protocol.Response, r *reader) error {
-	for {
+	for range informationalMax + 1 {
 		if err := respI.ReadHeaders(resp, r); err != nil {
 			return cut(r, err)
 		}
@@ -267,6 +270,7 @@
 			return fmt.Errorf("unexpected status %d: %w", status, ErrCut)
 		}
 	}
+	return fmt.Errorf("more than %d informational responses: %w", informationalMax, ErrCut)
 }
 
 func (c *Client) readBody(resp *protocol.Response, r *reader) error {
--- a/server/transport/httpclient/httpclient_test.go
+++ b/server/transport/httpclient/httpclient_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -218,3 +219,61 @@
 	var lost *LostError
 	assert.Assert(t, errors.As(err, &lost))
 }
+
+// Guards against bytes that are no answer and have no end: they must not be read until the deadline of the request, fill
+// memory, or count as an answer, and other connections must go on.
+func TestEndlessBytes(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	const chunked = ok + "Transfer-Encoding: chunked\r\n\r\n"
+	cases := []struct {
+		name, start, forever string
+		want                 error
+	}{
+		{"status line", "", "x", ErrTooLarge},
+		{"line ends before a status line", "", "\r\n", ErrTooLarge},
+		{"header value", ok + "A: ", "x", ErrTooLarge},
+		{"header fields", ok, "A: b\r\n", ErrTooLarge},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n", ErrCut},
+		{"body without length", ok + "\r\n", "x", ErrTooLarge},
+		{"chunks", chunked, "1\r\nx\r\n", ErrTooLarge},
+		{"chunk size", chunked, "0", ErrCut},
+		{"chunk extension", chunked + "1;", "x", ErrCut},
+		{"trailer value", chunked + "0\r\nA: ", "x", ErrTooLarge},
+		{"trailer fields", chunked + "0\r\n", "A: b\r\n", ErrTooLarge},
+		{"bytes after an answer", ok + "Content-Length: 2\r\n\r\nok", "x", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{})
+			address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				defer close(closed)
+				io.WriteString(conn, c.start)
+				unit := strings.Repeat(c.forever, 100)
+				for {
+					if _, err := io.WriteString(conn, unit); err != nil {
+						return
+					}
+				}
+			})
+			client, err := New(Limits{
+				DialTimeout: testTimeout, ConnectionsPerHost: 1, IdleTimeout: time.Minute, HeaderMaxBytes: 1 << 10,
+				BodyMaxBytes: 64 << 10, UnframedBodies: true,
+			})
+			assert.NilError(t, err)
+			resp, err := get(t.Context(), client, address, "GET")
+			if c.want == nil {
+				assert.NilError(t, err)
+				assert.Equal(t, string(resp.Body()), "ok")
+			} else {
+				var lost *LostError
+				assert.Assert(t, errors.As(err, &lost), "%v", err)
+				assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "read until the deadline: %v", err)
+				assert.ErrorIs(t, err, c.want)
+			}
+			<-closed
+		})
+	}
+}
