Judge slow targets by running requests, and ask the store less at starts and changes

Ruled out for (1): publishing the service time in the entries, which would send some 300 entries to 300 nodes for what answers carry already.

(1) A target's node states at least 0.6 of the mean age of running requests; what a node stated fades in 4 s towards what is typical of the kind, and an untried node counts as 0.8 of it instead of 20 ms.

--- /dev/null
+++ b/server/coordination/admission/ages_test.go
@@ -0,0 +1,41 @@
+package admission
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/protocol/outcome"
+)
+
+// Guards against a target that turned five times as slow and is taken for a fast one until its first slow request has
+// ended, and against an even one that is taken for slow.
+func TestSlowTargetIsNoticedBeforeItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const kind, slots, usual = uint32(7), 12, 400 * time.Millisecond
+		g := NewGate(Settings{Slots: slots, Queue: 10})
+		run := func(d time.Duration) {
+			for i := range slots {
+				slot, reason := g.EnterAs(t.Context(), Arrival{Deadline: time.Now().Add(time.Minute), Kind: kind})
+				assert.Equal(t, reason, outcome.ReasonNone)
+				go func() {
+					time.Sleep(d + time.Duration(i)*time.Millisecond)
+					slot.Release(true)
+				}()
+			}
+		}
+		for range 3 {
+			run(usual)
+			time.Sleep(usual - time.Millisecond)
+			assert.Assert(t, g.Load(kind).Service <= usual+slots*time.Millisecond, "%v", g.Load(kind).Service)
+			time.Sleep(usual)
+		}
+		run(5 * usual)
+		time.Sleep(4 * usual)
+		assert.Assert(t, g.Load(kind).Service > 2*usual, "%v", g.Load(kind).Service)
+		time.Sleep(2 * usual)
+		assert.Equal(t, len(g.ages.kinds), 0)
+	})
+}
--- a/server/coordination/admission/gate.go
+++ b/server/coordination/admission/gate.go
@@ -20,11 +20,12 @@
 	lastID  uint64
 	waiting map[uint64]chan outcome.Reason
 	timer   *time.Timer
+	ages    ages
 }
 
 // NewGate returns a gate that admits by the given settings.
 func NewGate(s Settings) *Gate {
-	return &Gate{state: New(s), waiting: make(map[uint64]chan outcome.Reason)}
+	return &Gate{state: New(s), waiting: make(map[uint64]chan outcome.Reason), ages: newAges(time.Now())}
 }
 
 // SetTarget sets the slots and the start time of the target. Slots of 0 or less mean the default.
@@ -57,7 +58,7 @@
 	now := time.Now()
 	return Load{
 		InUse: g.state.InUse(), Queued: g.state.Queued(), Slots: g.state.Slots(now),
-		Wait: g.state.Wait(now, kind), Service: g.state.KindTime(kind), Reserve: g.state.Reserve(kind),
+		Wait: g.state.Wait(now, kind), Service: g.ages.slowed(now, kind, g.state.KindTime(kind)), Reserve: g.state.Reserve(kind),
 	}
 }
 
@@ -91,6 +92,7 @@
 	}
 	s.released = true
 	now := time.Now()
+	g.ages.end(s.started, s.kind)
 	if ran {
 		g.state.Observe(now.Sub(s.started), s.kind)
 	}
@@ -155,7 +157,11 @@
 }
 
 func (g *Gate) slot(kind uint32) *Slot {
-	return &Slot{gate: g, kind: kind, started: time.Now()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.ages.start(now, kind)
+	return &Slot{gate: g, kind: kind, started: now}
 }
 
 // apply wakes the requests that were settled.
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -75,7 +75,7 @@
 	now := time.Now().UnixMilli()
 	list := j.h.candidates.of(j.view, j.service, &j.h.settings)
 	var target *endpoint.Entry
-	j.h.tracker.Read(j.request.Kind, func(statOf func(string) routing.Stat) {
+	j.h.tracker.Read(j.request.Kind, now, func(statOf func(string) routing.Stat) {
 		target = routing.Cheapest(&routing.Choice{
 			Candidates: list.entries,
 			NearCount:  list.near,
--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -41,8 +41,9 @@
 type WholeSettings struct {
 	// PollWait is how long the source is asked to wait for a publication.
 	PollWait time.Duration
-	// BackupWait takes its place while others read for this node too.
-	BackupWait time.Duration
+	// Backup takes its place at the second reader of a failure domain. The readers behind that one do not wait at the source:
+	// they ask once in this time, so that a change is not read by all of them.
+	Backup time.Duration
 	// RetryMin and RetryMax bound the delay after a failed read.
 	RetryMin, RetryMax time.Duration
 	// Pause is the time between two reads that found something, so that publications in quick succession are
@@ -67,15 +68,17 @@
 	logger   log.Interface
 	// passed is the highest offset that was read, installed or not.
 	passed uint64
-	// backup is true while others read for this node too.
-	backup atomic.Bool
+	// rank is the place of this reader among those of its failure domain, 0 first.
+	rank atomic.Int64
+	// ranked is sent to when the rank changed.
+	ranked chan struct{}
 	// failing is true from a failed read to the next one that succeeds.
 	failing bool
 }
 
 // NewWhole returns a follower that does not run yet.
 func NewWhole(source Source, sink WholeSink, settings WholeSettings, logger log.Interface) *WholeFollower {
-	return &WholeFollower{source: source, sink: sink, settings: settings, logger: logger}
+	return &WholeFollower{source: source, sink: sink, settings: settings, logger: logger, ranked: make(chan struct{}, 1)}
 }
 
 // Run reads until ctx ends.
@@ -92,6 +95,7 @@
 			delay = delays.NextBackOff()
 		case !found:
 			delays.Reset()
+			f.idle(ctx)
 			continue
 		default:
 			delays.Reset()
@@ -153,14 +157,44 @@
 	if f.failing {
 		return 0
 	}
-	if f.backup.Load() {
-		return f.settings.BackupWait
+	switch rank := f.rank.Load(); {
+	case f.settings.Backup <= 0 || rank <= 0 || f.sink.Offset() == 0:
+		return f.settings.PollWait
+	case rank == 1:
+		return f.settings.Backup
+	default:
+		return 0
 	}
-	return f.settings.PollWait
 }
 
-// SetBackup says whether others read for this node too. It may be called at any time.
-func (f *WholeFollower) SetBackup(backup bool) { f.backup.Store(backup) }
+// idle waits after a read that found nothing and did not wait at the source.
+func (f *WholeFollower) idle(ctx context.Context) {
+	select {
+	case <-f.ranked:
+	default:
+	}
+	if f.failing || f.wait() > 0 {
+		return
+	}
+	timer := time.NewTimer(f.settings.Backup)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.ranked:
+	case <-ctx.Done():
+	}
+}
+
+// SetRank says which reader of its failure domain this one is, 0 first. It may be called at any time.
+func (f *WholeFollower) SetRank(rank int) {
+	if f.rank.Swap(int64(rank)) == int64(rank) {
+		return
+	}
+	select {
+	case f.ranked <- struct{}{}:
+	default:
+	}
+}
 
 // reject passes a publication over; the configuration in force stays.
 func (f *WholeFollower) reject(offset uint64, err error) {
--- a/server/coordination/follow/whole_test.go
+++ b/server/coordination/follow/whole_test.go
@@ -81,3 +81,27 @@
 		assert.DeepEqual(t, source.waits, []time.Duration{p, p, p, 0, 0, p, p, p, p, p})
 	})
 }
+
+// Guards against a change that every reader of a failure domain reads from the source, and against a backup that stays one
+// after the readers before it have gone.
+func TestBackupReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &scripted{end: cancel, answers: []func() (*config.Whole, error){whole(3, 1), nothing, nothing, nothing, nothing}}
+		settings := WholeSettings{PollWait: 2 * time.Second, Backup: 6 * time.Second, Pause: time.Second}
+		f := NewWhole(source, &installs{}, settings, &log.Logger{Handler: discard.Default})
+		f.SetRank(2)
+		began := time.Now()
+		go f.Run(ctx)
+		time.Sleep(15 * time.Second)
+		synctest.Wait()
+		// A reader without a configuration waits for one, a backup that has one does not wait at the source.
+		assert.DeepEqual(t, source.waits, []time.Duration{2 * time.Second, 0, 0, 0})
+		f.SetRank(1)
+		synctest.Wait()
+		assert.Equal(t, time.Since(began), 15*time.Second)
+		assert.DeepEqual(t, source.waits[4:], []time.Duration{6 * time.Second, 6 * time.Second})
+		f.SetRank(0)
+		assert.Equal(t, f.wait(), 2*time.Second)
+	})
+}
--- a/server/coordination/routing/score_test.go
+++ b/server/coordination/routing/score_test.go
@@ -90,7 +90,7 @@
 	}
 	choose := func(kind uint32, after time.Duration, exclude ...string) string {
 		choice := scoreChoice(nil)
-		choice.Stat = func(node string) Stat { return tracker.StatOf(node, kind) }
+		choice.Stat = func(node string) Stat { return tracker.StatOf(node, kind, scoreNow) }
 		choice.NowMS += after.Milliseconds()
 		choice.Exclude = make(map[string]bool)
 		for _, node := range exclude {
@@ -245,3 +245,26 @@
 	}
 	assert.Assert(t, len(chosen) > perDomain/2, "%d targets chosen by %d nodes", len(chosen), perDomain)
 }
+
+// Guards against a node that was slow once and gets no requests for good, against one that is taken for fast because nothing
+// is known of it, and against forgetting a slow one at once.
+func TestStatedServiceTimeFades(t *testing.T) {
+	const kind, usual = uint32(1), 100 * time.Millisecond
+	tracker := NewTracker(DefaultSettings())
+	state := func(node string, service time.Duration) {
+		tracker.EndReported(tracker.Begin(node, scoreNow), Succeeded, &Report{Kind: kind, Service: service}, scoreNow)
+	}
+	for range 100 {
+		state("usual", usual)
+	}
+	state("slow", 5*usual)
+	service := func(node string, after time.Duration) time.Duration {
+		return tracker.StatOf(node, kind, scoreNow+after.Milliseconds()).Service
+	}
+	assert.Equal(t, service("slow", 0), 5*usual)
+	assert.Assert(t, service("slow", statedHalfLife) > 2*usual)
+	assert.Assert(t, service("slow", 10*statedHalfLife) < 2*usual)
+	untried := service("untried", 0)
+	assert.Assert(t, untried > usual/2 && untried < 2*usual, "%v", untried)
+	assert.Equal(t, tracker.StatOf("untried", kind+1, scoreNow).Service, time.Duration(0))
+}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -13,14 +13,16 @@
 type Tracker struct {
 	settings Settings
 
-	mu      sync.Mutex
-	nodes   map[string]*observed
+	mu    sync.Mutex
+	nodes map[string]*observed
+	// typical is the moving mean of the service times that nodes stated, by kind.
+	typical map[uint32]time.Duration
 	dropped uint64
 }
 
 // NewTracker returns a tracker without observations.
 func NewTracker(settings Settings) *Tracker {
-	return &Tracker{settings: settings, nodes: make(map[string]*observed)}
+	return &Tracker{settings: settings, nodes: make(map[string]*observed), typical: make(map[uint32]time.Duration)}
 }
 
 // observed is what is known of one node.
@@ -33,26 +35,50 @@
 type kindStat struct {
 	service     time.Duration
 	fullUntilMS int64
+	// statedMS is when the service time was stated.
+	statedMS int64
 }
 
 // trackedKindsMax limits the kinds that are told apart at one node.
 const trackedKindsMax = 256
 
-// of returns the observations with those of a kind filled in. A kind that was not seen yet has the service time of some
-// other one.
-func (o *observed) of(kind uint32) Stat {
+const (
+	// statedHalfLife is the time in which half of the difference between what a node stated and what is typical of the kind
+	// is forgotten. A node that was slow and gets no requests for it is so tried again.
+	statedHalfLife = 4 * time.Second
+	// untriedShare is the part of the typical service time that is expected of a node which has stated none.
+	untriedShare = 0.8
+	// typicalWeight is the share of a new statement in the typical service time of a kind.
+	typicalWeight = 0.05
+)
+
+// of returns the observations with those of a kind filled in.
+func (o *observed) of(kind uint32, typical time.Duration, nowMS int64) Stat {
 	s := o.Stat
 	own := o.kinds[kind]
-	s.Service, s.FullUntilMS = own.service, own.fullUntilMS
-	if s.Service > 0 {
+	s.FullUntilMS = own.fullUntilMS
+	if own.service == 0 {
+		s.Service = time.Duration(untriedShare * float64(typical))
 		return s
 	}
-	for _, other := range o.kinds {
-		s.Service = max(s.Service, other.service)
-	}
+	age := float64(max(nowMS-own.statedMS, 0))
+	kept := math.Exp2(-age / float64(statedHalfLife.Milliseconds()))
+	s.Service = typical + time.Duration(kept*float64(own.service-typical))
 	return s
 }
 
+// noteTypical takes a service time that a node stated.
+func (t *Tracker) noteTypical(kind uint32, service time.Duration) {
+	known, seen := t.typical[kind]
+	switch {
+	case service <= 0:
+	case seen:
+		t.typical[kind] = known + time.Duration(typicalWeight*float64(service-known))
+	case len(t.typical) < trackedKindsMax:
+		t.typical[kind] = service
+	}
+}
+
 // note keeps what a node stated of a kind.
 func (o *observed) note(kind uint32, next kindStat) {
 	if _, known := o.kinds[kind]; !known && len(o.kinds) >= trackedKindsMax {
@@ -75,25 +101,26 @@
 }
 
 // StatOf returns the observations of a node for a kind of requests.
-func (t *Tracker) StatOf(node string, kind uint32) Stat {
+func (t *Tracker) StatOf(node string, kind uint32, nowMS int64) Stat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.statOf(node, kind)
+	return t.statOf(node, kind, nowMS)
 }
 
-func (t *Tracker) statOf(node string, kind uint32) Stat {
+func (t *Tracker) statOf(node string, kind uint32, nowMS int64) Stat {
+	typical := t.typical[kind]
 	if o := t.nodes[node]; o != nil {
-		return o.of(kind)
+		return o.of(kind, typical, nowMS)
 	}
-	return Stat{}
+	return Stat{Service: time.Duration(untriedShare * float64(typical))}
 }
 
 // Read calls read with a function that returns the observations of a node for a kind of requests. No observation changes
 // meanwhile, and read must not call the tracker.
-func (t *Tracker) Read(kind uint32, read func(statOf func(node string) Stat)) {
+func (t *Tracker) Read(kind uint32, nowMS int64, read func(statOf func(node string) Stat)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	read(func(node string) Stat { return t.statOf(node, kind) })
+	read(func(node string) Stat { return t.statOf(node, kind, nowMS) })
 }
 
 // Attempt is one request that a Tracker counts as outstanding.
@@ -230,10 +257,12 @@
 		next.LinkWait = report.LinkWait
 		next.ReportedMS = nowMS
 		next.Others = max(report.InUse+report.Queued-next.Outstanding, 0)
-		own := kindStat{service: report.Service, fullUntilMS: report.fullUntilMS(nowMS)}
+		own := kindStat{service: report.Service, fullUntilMS: report.fullUntilMS(nowMS), statedMS: nowMS}
 		if own.service == 0 {
-			own.service = a.stat.kinds[report.Kind].service
+			before := a.stat.kinds[report.Kind]
+			own.service, own.statedMS = before.service, before.statedMS
 		}
+		t.noteTypical(report.Kind, report.Service)
 		a.stat.note(report.Kind, own)
 	}
 	a.stat.Stat = next
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -70,11 +70,9 @@
 	// sourcePause is the time between two reads of configurations in quick succession. Each is complete in itself, so
 	// only the newest has to be installed, and the pause is small against the time in which it has to be in force.
 	sourcePause = 700 * time.Millisecond
-	// backupWait replaces sourceWait at readers beyond the first ones of a failure domain. A change does not wait for them
+	// sourceBackup replaces sourceWait at readers behind the first one of a failure domain. A change does not wait for them
 	// where their read hangs, so they need not ask as often.
-	backupWait = 6 * time.Second
-	// firstReaders are the readers of a failure domain that ask often.
-	firstReaders = 2
+	sourceBackup = 6 * time.Second
 	// hostedSlack is how much longer than the hold time a poll may take. A node whose parent vanishes has the next
 	// configuration from another one within the time in which it has to be in force.
 	hostedSlack = 500 * time.Millisecond
@@ -135,14 +133,14 @@
 		declaredDead:  func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
 	})
 	h.follower = follow.NewWhole(h.platform.Source(), h.control, follow.WholeSettings{
-		PollWait: sourceWait, BackupWait: backupWait, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, Pause: sourcePause,
+		PollWait: sourceWait, Backup: sourceBackup, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, Pause: sourcePause,
 	}, log.Log)
 	return nil
 }
 
 func (h *Hosted) rolesChanged(r fanout.Roles) {
 	h.syncer.SetRoles(r)
-	h.follower.SetBackup(r.Rank >= firstReaders)
+	h.follower.SetRank(r.Rank)
 	h.reading.ask(r.ReadsLog)
 	log.WithFields(log.Fields{
 		"event": "roles", "follower": r.Follower, "relay": r.Relay, "rank": r.Rank, "parent": r.Parent().Node,
@@ -299,7 +297,7 @@
 	}
 	h.registrar.Stop()
 	err := h.finish(ctx, limit)
-	h.leave(ctx)
+	h.leave()
 	stopBackground()
 	h.listeners.shutdown(ctx)
 	if ctx.Err() == nil {
@@ -347,10 +345,8 @@
 	return min(longest+finishSlack, limit/2)
 }
 
-// leave tells the other nodes that this one is gone.
-func (h *Hosted) leave(ctx context.Context) {
+// leave tells the other nodes that this one is gone. Its record stays in the directory: most nodes that stop start again at
+// their address, and the records of the others expire.
+func (h *Hosted) leave() {
 	h.control.UpdateSelf(func(e *endpoint.Entry) { e.State = endpoint.Left })
-	if err := h.platform.Directory().Remove(ctx, h.settings.Node.Name); err != nil {
-		log.WithError(err).WithField("event", "directory_remove").Warn("record stays in the directory until it expires")
-	}
 }
