Count the wait for the source from the first state that a peer lacks

Peers hold a new state back for 0.8 s from nodes that read the store themselves, and each new state began the wait anew, so in a storm with less than 0.8 s between versions nothing was passed on.

Ruled out: lost contact (the node exchanged entries all the time) and the link.

Each state is held back for itself: a peer gets the newest one as soon as the first one that it lacks has been held back for 0.8 s.

TestSourceGraceInAStorm: the peer got the 13th state of 13 (after the storm) before, the fifth now.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -52,7 +52,9 @@
 		l.counter.blocked.Store(0)
 	}
 	l.window.reset(state.Offset())
-	l.installed = time.Now()
+	if l.settings.SourceGrace > 0 {
+		l.heldBack.installed(state.Offset(), time.Now())
+	}
 	l.highest = max(l.highest, state.Offset())
 	l.updateReady()
 	l.publishView()
@@ -147,17 +149,20 @@
 
 func (l *Loop) publishNews() {
 	l.passable = l.table.Sequence()
-	if wait := l.sourceGraceLeft(time.Now()); wait > 0 {
+	now := time.Now()
+	l.passableOffset = l.passableUpTo(now)
+	if wait := l.heldBack.next(now); wait > 0 {
 		l.graceTimer.Reset(wait)
-	} else {
-		l.passableOffset = l.state.Load().Offset()
 	}
 	l.news.fire()
 }
 
-// sourceGraceLeft returns the time until the state is passed on to peers; 0 or less if it is.
-func (l *Loop) sourceGraceLeft(now time.Time) time.Duration {
-	return l.installed.Add(l.settings.SourceGrace).Sub(now)
+// passableUpTo returns the offset up to which the state is passed on to peers that read the source themselves.
+func (l *Loop) passableUpTo(now time.Time) uint64 {
+	if l.settings.SourceGrace <= 0 {
+		return l.state.Load().Offset()
+	}
+	return l.heldBack.upTo(now)
 }
 
 // publishView builds a view of the current state and table and replaces the old one.
--- a/server/coordination/control/grace_test.go
+++ b/server/coordination/control/grace_test.go
@@ -41,6 +41,52 @@
 	})
 }
 
+// Guards against a peer that cannot read the source and gets nothing for as long as states follow each other faster than
+// they are held back: each new one began the wait anew.
+func TestSourceGraceInAStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace, gap = 800 * time.Millisecond, 250 * time.Millisecond
+		loop := New(Settings{
+			Shape:       fanout.Shape{Mode: fanout.ModeTree, FollowersPerDomain: 2, RelayChildren: 4},
+			SourceGrace: grace, SyncHold: time.Second, SyncAdmissionRate: 100, DeltaWindowRecords: 16,
+		}, endpoint.Entry{Node: "n1", FailureDomain: "d"})
+		go loop.Run(t.Context())
+		var offset uint64
+		install := func() {
+			offset++
+			assert.NilError(t, loop.InstallWhole(&config.Whole{Offset: offset, Sequence: offset, Content: config.Content{}}))
+		}
+		install()
+		// The peer has the first state, and polls while more follow.
+		got := make(chan *wire.SyncReply, 1)
+		began := time.Now()
+		go func() {
+			args := &wire.SyncArgs{Node: "n2", Reads: true, Offset: 1, HoldMS: 500}
+			for {
+				reply, err := loop.HandleSync(t.Context(), args)
+				if err != nil || len(reply.Snapshot) > 0 {
+					got <- reply
+					return
+				}
+				args.ParentInstance, args.TableSequence = reply.ParentInstance, reply.TableSequence
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		for range 12 {
+			time.Sleep(gap)
+			install()
+		}
+		reply := <-got
+		data, err := decompress(reply.Snapshot)
+		assert.NilError(t, err)
+		state, err := config.DecodeSnapshot(data)
+		assert.NilError(t, err)
+		// The second state came after one gap, the grace later the newest one was the fifth.
+		assert.Equal(t, state.Sequence(), uint64(5))
+		assert.Assert(t, time.Since(began) >= grace)
+	})
+}
+
 // Guards against a small message that becomes a large one in memory.
 func TestDecompressIsBounded(t *testing.T) {
 	large, err := compress(bytes.Repeat([]byte{0}, 16*config.MaxSnapshotBytes))
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -57,8 +57,8 @@
 	// open polls are answered when the poller lacks something up to there.
 	passable       uint64
 	passableOffset uint64
-	// installed is the time of the last change of the state.
-	installed time.Time
+	// heldBack are the latest whole states, with their times.
+	heldBack passable
 	// blockedAt is the offset of the record of an unknown rule version that stopped the fold; 0 if there is none.
 	blockedAt                uint64
 	viewTimer, newsTimer     *time.Timer
@@ -118,6 +118,7 @@
 	l.viewTimer = stoppedTimer()
 	l.newsTimer = stoppedTimer()
 	l.graceTimer = stoppedTimer()
+	l.heldBack.hold = l.settings.SourceGrace
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	l.started = time.Now()
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -151,7 +151,7 @@
 	delta := l.delta(args, l.table.Sequence())
 	reply.Entries = delta.Entries
 	reply.TableSequence = delta.Sequence
-	if !waitsForSource(args) || l.sourceGraceLeft(time.Now()) <= 0 {
+	if !waitsForSource(args) || args.Offset < l.passableUpTo(time.Now()) {
 		l.fillRecords(args.Offset, reply)
 	}
 }
