--- a/server/coordination/follow/whole.go
+++ b/server/coordination/follow/whole.go
@@ -58,6 +58,19 @@
 	UnknownWords atomic.Int64
 }
 
+// WholeCounterValues is a copy of WholeCounters.
+type WholeCounterValues struct {
+	Reads, FailedReads, Installed, Rejected, UnknownWords int64
+}
+
+// Values returns the current values.
+func (c *WholeCounters) Values() WholeCounterValues {
+	return WholeCounterValues{
+		Reads: c.Reads.Load(), FailedReads: c.FailedReads.Load(), Installed: c.Installed.Load(),
+		Rejected: c.Rejected.Load(), UnknownWords: c.UnknownWords.Load(),
+	}
+}
+
 // WholeFollower reads whole configurations from a source into a sink.
 type WholeFollower struct {
 	Counters WholeCounters
--- a/server/coordination/follow/whole_test.go
+++ b/server/coordination/follow/whole_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"wagtailford.example/server/state/config"
@@ -105,3 +106,27 @@
 		assert.Equal(t, f.wait(), 2*time.Second)
 	})
 }
+
+// Guards against words of a newer publisher that are replaced without anybody being told.
+func TestUnknownWordsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		source := &scripted{end: cancel, answers: []func() (*config.Whole, error){
+			func() (*config.Whole, error) {
+				return &config.Whole{Offset: 3, Sequence: 1, Unknown: []config.UnknownWord{{Route: "r", Field: "kind", Word: "w"}}}, nil
+			},
+			whole(4, 2),
+		}}
+		logged := memory.New()
+		f := NewWhole(source, &installs{}, WholeSettings{Pause: time.Second}, &log.Logger{Handler: logged, Level: log.InfoLevel})
+		f.Run(ctx)
+		assert.DeepEqual(t, f.Counters.Values(), WholeCounterValues{Reads: 3, Installed: 2, UnknownWords: 1})
+		named := 0
+		for _, entry := range logged.Entries {
+			if entry.Fields.Get("event") == "configuration_word_unknown" && entry.Fields.Get("route") == "r" {
+				named++
+			}
+		}
+		assert.Equal(t, named, 1)
+	})
+}
--- a/server/daemon/docs_test.go
+++ b/server/daemon/docs_test.go
@@ -14,6 +14,7 @@
 	"wagtailford.example/server/coordination/control"
 	"wagtailford.example/server/coordination/dispatch"
 	"wagtailford.example/server/coordination/execute"
+	"wagtailford.example/server/coordination/follow"
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/transport/peer"
 )
@@ -71,6 +72,7 @@
 	assert.NilError(t, err)
 	for _, counters := range []any{
 		dispatch.State{}, dispatch.CounterValues{}, routing.Summary{}, execute.Dump{}, control.CounterValues{}, peer.CounterValues{},
+		follow.WholeCounterValues{},
 	} {
 		for field := range reflect.TypeOf(counters).Fields() {
 			assert.Check(t, strings.Contains(string(page), "`"+field.Name+"`"),
--- a/server/daemon/hosted_serve.go
+++ b/server/daemon/hosted_serve.go
@@ -69,6 +69,7 @@
 		"ControlPool": h.controlPool.Counters().Values(),
 		"TrafficPool": h.trafficPool.Counters().Values(),
 		"Control":     h.control.Counters(),
+		"Source":      h.follower.Counters.Values(),
 		"Dispatch":    h.dispatch.Dump(),
 		"Execute":     h.executor.Dump(),
 		"Store":       h.platform.Counters(),
