Mend a race in the replay of bodies, and prove that a slow frame is not silence

Silence by bytes had no test of its own.

The link is made before the replay. No product code changed.

--- a/server/coordination/transfer/transfer_test.go
+++ b/server/coordination/transfer/transfer_test.go
@@ -72,11 +72,10 @@
 
 // replay sends bodies of 60 KB from many nodes at 0.9 of a narrow link in clumps of eight, with a small message every 20 ms,
 // and returns the longest wait of a small message and the bodies that arrived within a second. fetch brings one body.
-func replay(fetch func(l *link, id uint64, due time.Time) bool) (longest time.Duration, inTime int) {
+func replay(l *link, fetch func(id uint64, due time.Time) bool) (longest time.Duration, inTime int) {
 	const bodies, clump, bodyBytes, objective = 160, 8, 60_000, time.Second
 	clumpSeconds := clump * bodyBytes * 8 / (0.9 * narrowMbps * bitsPerMbit)
 	gap := time.Duration(clumpSeconds * float64(time.Second))
-	l := new(link)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	end := time.Now().Add(gap * bodies / clump)
@@ -98,7 +97,7 @@
 		}
 		wg.Go(func() {
 			due := time.Now().Add(objective)
-			if fetch(l, uint64(i+1), due) && !time.Now().After(due) {
+			if fetch(uint64(i+1), due) && !time.Now().After(due) {
 				mu.Lock()
 				inTime++
 				mu.Unlock()
@@ -116,13 +115,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		const bodyBytes = 60_000
 		body := make([]byte, bodyBytes)
-		atWill, _ := replay(func(l *link, _ uint64, _ time.Time) bool {
-			l.carry(bodyBytes)
+		plain := new(link)
+		atWill, _ := replay(plain, func(uint64, time.Time) bool {
+			plain.carry(bodyBytes)
 			return true
 		})
 		assert.Assert(t, atWill > 400*time.Millisecond, "%v", atWill)
 		var outbox Outbox
-		var l *link
+		l := new(link)
 		inbox := NewInbox(func(_ context.Context, _, _ string, args, reply any) error {
 			out := reply.(*wire.BodyReply)
 			if err := outbox.Receiver().Read(args.(*wire.BodyArgs), out); err != nil {
@@ -131,8 +131,7 @@
 			l.carry(len(out.Body))
 			return nil
 		}, narrowMbps, 1<<20)
-		longest, inTime := replay(func(line *link, id uint64, due time.Time) bool {
-			l = line
+		longest, inTime := replay(l, func(id uint64, due time.Time) bool {
 			defer outbox.Add(id, body)()
 			got, reason, err := inbox.Fetch(t.Context(), &wire.Request{ID: id, BodyBytes: bodyBytes}, due)
 			return reason == outcome.ReasonNone && err == nil && bytes.Equal(got, body)
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -275,3 +275,30 @@
 		assert.NilError(t, pool.Call(context.Background(), address, "Echo.Say", &args, &reply))
 	}
 }
+
+// slowConn lets bytes arrive slowly, as a narrow link does.
+type slowConn struct {
+	net.Conn
+}
+
+func (c *slowConn) Read(p []byte) (int, error) {
+	const pieceBytes, pause = 1 << 10, 10 * time.Millisecond
+	time.Sleep(pause)
+	return c.Conn.Read(p[:min(len(p), pieceBytes)])
+}
+
+// Guards against a connection that is given up as silent while a large reply is on its way, whose caller would not hear of
+// work that ran.
+func TestSlowFrameIsNotSilence(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	pool := newTestPool(t, testCredential)
+	dial := pool.dial
+	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		return &slowConn{conn}, err
+	}
+	large, reply := strings.Repeat("x", 48<<10), ""
+	assert.NilError(t, pool.Call(t.Context(), address, "Echo.Say", &large, &reply))
+	assert.Equal(t, reply, large)
+	assert.Equal(t, pool.Counters().Values().Silent, int64(0))
+}
