--- a/server/daemon/docs_test.go
+++ b/server/daemon/docs_test.go
@@ -71,7 +71,12 @@
 	page, err := os.ReadFile(operations)
 	assert.NilError(t, err)
 	for _, counters := range []any{
-		dispatch.State{}, dispatch.CounterValues{}, routing.Summary{}, execute.Dump{}, control.CounterValues{}, peer.CounterValues{},
+		dispatch.State{},
+		dispatch.CounterValues{},
+		routing.Summary{},
+		execute.Dump{},
+		control.CounterValues{},
+		peer.CounterValues{},
 		follow.WholeCounterValues{},
 	} {
 		for field := range reflect.TypeOf(counters).Fields() {
