Announce large bodies by a method that older nodes do not have

Reading the change again: net/rpc with gob passes over fields that a build does not know, so a node of the build before would have run an announced request without its body while a fleet is updated.

Such requests go to Node.ExecuteAnnounced. A node without it fails the call, the body has not left, so the request is refused there and offered to others.

Result: TestOlderNodesDoNotRunAnnouncedRequests; large bodies arrive whole as before.

--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/rpc"
 	"sync"
 	"testing"
 	"time"
@@ -317,3 +318,20 @@
 		})
 	}
 }
+
+// Guards against a node of an older build that runs a request without the body that it was only told of.
+func TestOlderNodesDoNotRunAnnouncedRequests(t *testing.T) {
+	m := newMesh(script(serves))
+	h := newHandler(m, testView(), 1)
+	asked := 0
+	h.deps.Call = func(ctx context.Context, address, method string, args, reply any) error {
+		asked++
+		if method != methodExecute && asked < 3 {
+			return rpc.ServerError("rpc: can't find method " + method)
+		}
+		return m.call(ctx, address, method, args, reply)
+	}
+	result := h.Do(t.Context(), &Request{ID: "q", Host: "h", Path: "/w/1", Body: make([]byte, 2*transfer.PieceBytes)})
+	assert.Equal(t, asked, 3, "the request is offered to others")
+	assert.Equal(t, result.Outcome, outcome.Answered)
+}
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -18,6 +18,9 @@
 const (
 	methodExecute = wire.ServiceNode + ".Execute"
 	methodCancel  = wire.ServiceNode + ".Cancel"
+	// methodExecuteAnnounced takes a request whose body is fetched. A node of an older build does not know it, and refuses
+	// where it would otherwise run the request without its body.
+	methodExecuteAnnounced = wire.ServiceNode + ".ExecuteAnnounced"
 	// answerGrace is how long after the deadline the executing node's own verdict is waited for. It covers the way
 	// back inside a region; without it the verdict would always lose against the deadline of the call.
 	answerGrace = 20 * time.Millisecond
@@ -160,6 +163,7 @@
 	if target.Node == h.settings.Node {
 		return checked(h.deps.Local(ctx, &request)), true
 	}
+	method := methodExecute
 	if len(request.Body) > transfer.InlineMax {
 		request.BodyBytes, request.FromAddress = len(request.Body), h.settings.Address
 		remove := h.bodies.Add(request.ID, request.Body)
@@ -170,11 +174,12 @@
 			}
 		}()
 		request.Body = nil
+		method = methodExecuteAnnounced
 	}
 	callCtx, cancel := context.WithDeadline(ctx, j.limits.deadline.Add(answerGrace))
 	defer cancel()
 	reply := new(wire.Response)
-	err := h.deps.Call(callCtx, target.Address, methodExecute, &request, reply)
+	err := h.deps.Call(callCtx, target.Address, method, &request, reply)
 	if err == nil {
 		return checked(reply), true
 	}
--- a/server/coordination/execute/receiver.go
+++ b/server/coordination/execute/receiver.go
@@ -21,6 +21,11 @@
 	return nil
 }
 
+// ExecuteAnnounced runs a request whose body is fetched from its sender.
+func (r *Receiver) ExecuteAnnounced(args *wire.Request, reply *wire.Response) error {
+	return r.Execute(args, reply)
+}
+
 // Cancel ends the attempt if it is in progress. A queued request is then refused as not run; the connection of a
 // running one is closed.
 func (r *Receiver) Cancel(args *wire.CancelArgs, _ *wire.CancelReply) error {
