--- a/server/coordination/admission/ages_test.go
+++ b/server/coordination/admission/ages_test.go
@@ -36,6 +36,9 @@
 		time.Sleep(4 * usual)
 		assert.Assert(t, g.Load(kind).Service > 2*usual, "%v", g.Load(kind).Service)
 		time.Sleep(2 * usual)
+		synctest.Wait()
+		g.mu.Lock()
+		defer g.mu.Unlock()
 		assert.Equal(t, len(g.ages.kinds), 0)
 	})
 }
