Log from whom a configuration came, how old it was, and what was read

Peers' configurations are logged with sender, age, highest version known and time since the last contact; own reads with records, bytes, the end of the log and the time of each step.

No logic changes: the page of a read carries the end that the store states, which only the log line uses.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -41,10 +41,10 @@
 	}
 }
 
-// install replaces the state by one with a higher offset.
-func (l *Loop) install(state *config.State) {
+// install replaces the state by one with a higher offset, and reports whether it did.
+func (l *Loop) install(state *config.State) bool {
 	if state.Offset() <= l.state.Load().Offset() {
-		return
+		return false
 	}
 	l.state.Store(state)
 	if state.Offset() >= l.blockedAt {
@@ -59,6 +59,7 @@
 	l.updateReady()
 	l.publishView()
 	l.scheduleUpdates()
+	return true
 }
 
 // updateReady marks the node ready once it has reached the highest offset it was told of.
--- a/server/coordination/control/installs.go
+++ b/server/coordination/control/installs.go
@@ -41,3 +41,34 @@
 	defer l.installs.mu.Unlock()
 	return slices.Clone(l.installs.last)
 }
+
+// Installation describes how a complete state from a peer came into force on this node.
+type Installation struct {
+	Version  config.Version
+	Sequence uint64
+	Routes   int
+	// From is the peer that sent the state.
+	From string
+	// AgeMS is the time in milliseconds since a reader received the publication from the source. It compares two clocks
+	// and is only as accurate as they agree.
+	AgeMS int64
+	// HighestSeen is the highest offset that the source or any peer had stated by then.
+	HighestSeen uint64
+	// ContactAge is the time since the last contact in the sense of rule R6.
+	ContactAge time.Duration
+	// Ready is whether the node was ready with this state.
+	Ready bool
+}
+
+// reportInstallation passes the current state, which a peer sent, to the callback for installations.
+func (l *Loop) reportInstallation(from string, now time.Time) {
+	state := l.state.Load()
+	i := Installation{
+		Version: state.Version(), Sequence: state.Sequence(), Routes: len(state.Content().Routes), From: from,
+		HighestSeen: l.highestOffset, ContactAge: l.ContactAge(), Ready: l.ready,
+	}
+	if history := state.History(); len(history) > 0 {
+		i.AgeMS = now.UnixMilli() - history[0].TimeMS
+	}
+	l.notify.post(func() { l.notify.installed = append(l.notify.installed, i) })
+}
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -209,6 +209,10 @@
 // before Run.
 func (l *Loop) OnPeerAhead(f func(fanout.Peer)) { l.notify.onAhead = f }
 
+// OnInstalled sets the function that is called after a complete state from a peer came into force. It must be set before
+// Run.
+func (l *Loop) OnInstalled(f func(Installation)) { l.notify.onInstalled = f }
+
 // UpdateSelf changes the node's own entry on the control goroutine and raises its revision. Changes to the node name
 // and the key are discarded, except for the state. Maps and slices must be replaced, not modified, since views share
 // them. It has no effect if nothing changed or if the loop has stopped.
@@ -250,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	return l.do(context.Background(), func() { l.install(state) })
+	return l.do(context.Background(), func() { _ = l.install(state) })
 }
 
 // InstallWhole installs a configuration that was published as a complete document, if its offset is higher than the
--- a/server/coordination/control/notify.go
+++ b/server/coordination/control/notify.go
@@ -31,17 +31,19 @@
 }
 
 // notifier calls the callbacks of a Loop on a goroutine of its own, so that a callback may call the Loop. Only the
-// newest value of each kind is kept.
+// newest value of each kind is kept, except for installations.
 type notifier struct {
 	onRoles        func(fanout.Roles)
 	onDeclaredDead func()
 	onAhead        func(fanout.Peer)
+	onInstalled    func(Installation)
 
 	wake         chan struct{}
 	mu           sync.Mutex
 	roles        *fanout.Roles
 	declaredDead bool
 	ahead        *fanout.Peer
+	installed    []Installation
 }
 
 func (n *notifier) init() { n.wake = make(chan struct{}, 1) }
@@ -65,9 +67,14 @@
 		case <-n.wake:
 		}
 		n.mu.Lock()
-		roles, dead, ahead := n.roles, n.declaredDead, n.ahead
-		n.roles, n.declaredDead, n.ahead = nil, false, nil
+		roles, dead, ahead, installed := n.roles, n.declaredDead, n.ahead, n.installed
+		n.roles, n.declaredDead, n.ahead, n.installed = nil, false, nil, nil
 		n.mu.Unlock()
+		for _, i := range installed {
+			if n.onInstalled != nil {
+				n.onInstalled(i)
+			}
+		}
 		if dead && n.onDeclaredDead != nil {
 			n.onDeclaredDead()
 		}
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -257,8 +257,8 @@
 		l.mergeEntry(e, cmp.Or(in.From.Node, in.From.Address), now)
 	}
 	l.highestOffset = max(l.highestOffset, reply.HighestOffset)
-	if len(reply.Snapshot) > 0 {
-		l.installSnapshot(reply.Snapshot)
+	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot) {
+		l.reportInstallation(cmp.Or(in.From.Node, in.From.Address), now)
 	}
 	l.applyRecords(reply.Records)
 	// A parent that is not ready may itself have missed versions.
@@ -271,20 +271,20 @@
 	}
 }
 
-// installSnapshot decodes and installs a snapshot that a parent sent. One that cannot be decoded is ignored; the offset
-// does not advance, so the next poll requests it again.
-func (l *Loop) installSnapshot(data []byte) {
+// installSnapshot decodes and installs a snapshot that a parent sent, and reports whether its offset was higher than the
+// current one. One that cannot be decoded is ignored; the offset does not advance, so the next poll requests it again.
+func (l *Loop) installSnapshot(data []byte) bool {
 	data, err := decompress(data)
 	if err != nil {
 		l.counter.syncsFailed.Add(1)
-		return
+		return false
 	}
 	state, err := config.DecodeSnapshot(data)
 	if err != nil {
 		l.counter.syncsFailed.Add(1)
-		return
+		return false
 	}
-	l.install(state)
+	return l.install(state)
 }
 
 // recordReplyContact records the contact that a reply proves, and the parent that sent it.
--- a/server/coordination/follow/source_follower.go
+++ b/server/coordination/follow/source_follower.go
@@ -127,7 +127,10 @@
 	// A peer may have delivered a newer configuration than the last one read here.
 	f.processed = max(f.processed, f.sink.Offset())
 	f.Counters.Reads.Add(1)
-	w, err := f.source.Next(ctx, f.processed, f.readWait())
+	wait := f.readWait()
+	began := time.Now()
+	w, err := f.source.Next(ctx, f.processed, wait)
+	read := time.Since(began)
 	var unreadable *UnreadableError
 	if errors.As(err, &unreadable) {
 		f.sourceReachable()
@@ -142,6 +145,7 @@
 	if w == nil {
 		return false, nil
 	}
+	began = time.Now()
 	if err := f.sink.InstallWhole(w); err != nil {
 		f.reject(w.Offset, err)
 		return true, nil
@@ -150,6 +154,9 @@
 	f.Counters.Installed.Add(1)
 	f.logger.WithFields(log.Fields{
 		"event": "configuration", "version": w.Offset, "sequence": w.Sequence, "routes": len(w.Content.Routes),
+		"records": w.Read.Records, "bytes": w.Read.Bytes, "newest": w.Read.Newest, "wait_ms": wait.Milliseconds(),
+		"read_ms": read.Milliseconds(), "decode_ms": w.Read.Decoding.Milliseconds(),
+		"install_ms": time.Since(began).Milliseconds(),
 	}).Info("configuration in force")
 	f.logUnknownWords(w)
 	return true, nil
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -132,6 +132,7 @@
 		rolesChanged:  h.rolesChanged,
 		declaredDead:  func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
 	})
+	h.control.OnInstalled(logInstallation)
 	h.follower = follow.NewSourceFollower(h.platform.Source(), h.control, follow.SourceFollowerSettings{
 		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, CoalesceDelay: sourceCoalesceDelay,
 	}, log.Log)
@@ -147,6 +148,14 @@
 	}).Info("roles changed")
 }
 
+// logInstallation logs a configuration that a peer sent. The follower logs those that this node reads itself.
+func logInstallation(i control.Installation) {
+	log.WithFields(log.Fields{
+		"event": "configuration", "version": i.Version, "sequence": i.Sequence, "routes": i.Routes, "from": i.From,
+		"age_ms": i.AgeMS, "newest": i.HighestSeen, "contact_ms": i.ContactAge.Milliseconds(), "ready": i.Ready,
+	}).Info("configuration in force")
+}
+
 func (h *Hosted) buildExecutor() error {
 	s := h.settings
 	h.trafficPool = peer.NewPool(h.credential(), h.trafficLimits())
--- a/server/state/config/whole.go
+++ b/server/state/config/whole.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Whole is a configuration that an outside source publishes complete, in place of records that change it.
@@ -16,10 +17,21 @@
 	// TimeMS is the time at which the node received the publication, Unix milliseconds.
 	TimeMS  int64
 	Content Content
+	// Read says what was read to find it.
+	Read ReadInfo
 	// Unknown are the words that this build does not know and replaced by the strictest meaning.
 	Unknown []UnknownWord
 }
 
+// ReadInfo describes the read in which a node found a configuration.
+type ReadInfo struct {
+	Records, Bytes int
+	// Newest is the highest offset that the source stated in the read; 0 if it stated none.
+	Newest uint64
+	// Decoding is the time spent on decoding the configuration.
+	Decoding time.Duration
+}
+
 // UnknownWord is a word of a newer publisher.
 type UnknownWord struct {
 	Route, Field, Word string
