--- a/server/coordination/control/cluster_test.go
+++ b/server/coordination/control/cluster_test.go
@@ -40,6 +40,11 @@
 	// loss is the share of messages that are lost and sent again.
 	loss    float64
 	profile profile
+	shape   fanout.Topology
+	// reconnectJitter and margin are the settings of the syncs; margin is how much longer than its hold a poll may take.
+	reconnectJitter, margin time.Duration
+	// linkMbps is the bandwidth of each node's link; nil if it is not known.
+	linkMbps func(name string) uint32
 }
 
 // retransmission returns how long a message is delayed by losses: TCP sends it again after a timeout that doubles.
@@ -84,11 +89,11 @@
 func (c *cluster) settings() Settings {
 	return Settings{
 		Timeouts:           membership.Timeouts{SuspectAfter: c.profile.suspect, DeadAfter: c.profile.dead, SelfFence: c.profile.self},
-		Shape:              fanout.Topology{Mode: fanout.ModeTree, FollowersPerDomain: 2, RelayChildren: 3},
+		Shape:              c.shape,
 		SyncHold:           c.profile.hold,
 		CoalesceWindow:     c.profile.coalesce,
 		SyncAdmissionRate:  50,
-		ReconnectJitter:    500 * time.Millisecond,
+		ReconnectJitter:    c.reconnectJitter,
 		KeyRetention:       10 * time.Minute,
 		DeltaWindowRecords: 1024,
 		Jitter:             c.jitter,
@@ -98,11 +103,14 @@
 
 func newCluster(t *testing.T) *cluster {
 	return &cluster{
-		t:       t,
-		nodes:   make(map[string]*node),
-		cut:     connected,
-		profile: convergenceFirst,
-		random:  rand.New(rand.NewPCG(1, 2)),
+		t:               t,
+		nodes:           make(map[string]*node),
+		cut:             connected,
+		profile:         convergenceFirst,
+		random:          rand.New(rand.NewPCG(1, 2)),
+		shape:           fanout.Topology{Mode: fanout.ModeTree, FollowersPerDomain: 2, RelayChildren: 3},
+		reconnectJitter: 500 * time.Millisecond,
+		margin:          time.Second,
 	}
 }
 
@@ -120,12 +128,15 @@
 	ctx, cancel := context.WithCancel(c.t.Context())
 	self := endpoint.Entry{Node: name, Address: name, FailureDomain: domain, Service: "web", Eligible: true}
 	self.Key = endpoint.Key{Incarnation: time.Now().UnixNano(), State: endpoint.Alive}
+	if c.linkMbps != nil {
+		self.LinkMbps = c.linkMbps(name)
+	}
 	n := &node{cluster: c, name: name, domain: domain, cancel: cancel}
 	n.loop = New(c.settings(), self)
 	hold, relay, follower := fanout.HoldTimes(c.profile.hold, c.profile.self)
 	n.syncer = fanout.NewSyncer(n, n.loop, fanout.Settings{
 		Hold: hold, RelayHold: relay, FollowerHold: follower,
-		ReconnectJitter: 500 * time.Millisecond, CallTimeoutMargin: time.Second, ProbeInterval: time.Second,
+		ReconnectJitter: c.reconnectJitter, CallTimeoutMargin: c.margin, ProbeInterval: time.Second,
 		RetryMax: 5 * time.Second, Jitter: c.jitter, Seeds: []string{"d0-n0", "d0-n1", "d1-n0"},
 	})
 	n.loop.OnRolesChanged(n.syncer.SetRoles)
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -302,3 +302,40 @@
 	assert.Equal(t, reply, large)
 	assert.Equal(t, pool.Counters().Values().Silent, int64(0))
 }
+
+// Guards against a connection that has gone silent and is used for ever, because each call on it is given up before the
+// silence timeout and the next one starts the timeout anew.
+func TestSilenceIsMeasuredAcrossShortCalls(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	pool := newTestPool(t, testCredential)
+	muted := make(chan struct{})
+	direct := pool.dial
+	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
+		conn, err := direct(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-muted:
+			return conn, nil
+		default:
+			return &mutedConn{Conn: conn, muted: muted}, nil
+		}
+	}
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), testLimits().SilenceTimeout/2)
+		defer cancel()
+		var reply string
+		args := "a"
+		return pool.Call(ctx, address, "Echo.Say", &args, &reply)
+	}
+	assert.NilError(t, call())
+	close(muted)
+	const callsMax = 40
+	for range callsMax {
+		if call() == nil {
+			return
+		}
+	}
+	t.Fatalf("%d calls were lost on a silent connection", callsMax)
+}
