Measure the silence of a connection between nodes across calls

Callers saw requests handled by an older configuration up to 3 s after the bound. All open connections had gone silent without a reset, new ones worked.

Cause: a connection is given up after 1.5 s without a byte while calls are pending, and each call that finds none pending starts this time anew. A poll for the configuration is given up after 1 s, so the time never passed: a node polled the same dead connections again and again (sidecar-morlaix-3 for 5.5 s). Requests that end within 1 s kept dead connections to targets' nodes alive in the same way.

Change: a call that ends before anything has arrived since its start marks the connection. While it is marked, later calls do not start the time anew, and the connection is pinged and given up as if a call were pending. Any byte from the other end clears the mark, so a slow method does not end a connection.

--- a/server/transport/peer/peer.go
+++ b/server/transport/peer/peer.go
@@ -31,7 +31,8 @@
 	WriteTimeout     time.Duration
 	// PingInterval is how long a client with pending calls waits for a frame before it sends a ping.
 	PingInterval time.Duration
-	// SilenceTimeout is how long a client with pending calls waits for a frame before it gives the connection up.
+	// SilenceTimeout is how long a client with pending or abandoned calls waits for a frame before it gives the
+	// connection up.
 	SilenceTimeout time.Duration
 	// IdleTimeout is how long a connection without calls is kept.
 	IdleTimeout time.Duration
--- a/server/transport/peer/pool.go
+++ b/server/transport/peer/pool.go
@@ -32,9 +32,11 @@
 	stream  *messageStream
 	pending atomic.Int64
 	lastUse atomic.Int64
-	dead    atomic.Bool
-	done    chan struct{}
-	once    sync.Once
+	// abandoned is the start of the latest call that ended before a response to it arrived.
+	abandoned atomic.Int64
+	dead      atomic.Bool
+	done      chan struct{}
+	once      sync.Once
 }
 
 // NewPool returns a pool without connections.
@@ -62,8 +64,8 @@
 		return &NotSentError{Cause: err}
 	}
 	now := time.Now().UnixNano()
-	if conn.pending.Add(1) == 1 {
-		// Silence counts from the start of the call, not from the last use of an idle connection.
+	if conn.pending.Add(1) == 1 && !conn.owesResponse() {
+		// Silence counts from the start of the first call without a response, not from the last use of an idle connection.
 		conn.stream.lastRead.Store(now)
 	}
 	conn.lastUse.Store(now)
@@ -73,10 +75,14 @@
 	case <-call.Done:
 		return p.classify(conn, call.Error)
 	case <-ctx.Done():
+		conn.abandoned.Store(now)
 		return &LostError{Cause: ctx.Err()}
 	}
 }
 
+// owesResponse reports whether a call was abandoned and nothing has arrived since its start.
+func (c *clientConn) owesResponse() bool { return c.abandoned.Load() >= c.stream.lastRead.Load() }
+
 func (p *Pool) classify(conn *clientConn, err error) error {
 	if err == nil {
 		return nil
@@ -154,8 +160,8 @@
 	}()
 }
 
-// watch pings a connection that is quiet while calls are pending, gives it up when it stays silent, and closes it
-// when it is idle.
+// watch pings a connection that is quiet while calls are pending or after one was abandoned, gives it up when it stays
+// silent, and closes it when it is idle.
 func (p *Pool) watch(conn *clientConn) {
 	ticker := time.NewTicker(p.limits.PingInterval / 2)
 	defer ticker.Stop()
@@ -166,7 +172,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now().UnixNano()
-		if conn.pending.Load() == 0 {
+		if conn.pending.Load() == 0 && !conn.owesResponse() {
 			if now-conn.lastUse.Load() > int64(p.limits.IdleTimeout) {
 				p.drop(conn)
 				return
