--- a/server/coordination/follow/source_follower.go
+++ b/server/coordination/follow/source_follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +17,8 @@
 // Source publishes complete configurations. An implementation need not be safe for concurrent use.
 type Source interface {
 	// Next returns the newest configuration whose offset is above after. It waits up to the given time for one and
-	// returns nil if there is none. It returns an *UnreadableError for a publication that cannot be decoded.
+	// returns nil if there is none. It returns an *UnreadableError for a publication that cannot be decoded, and a
+	// *StaleError if there must be one that the source does not show.
 	Next(ctx context.Context, after uint64, wait time.Duration) (*config.Whole, error)
 }
 
@@ -32,6 +34,15 @@
 
 func (e *UnreadableError) Unwrap() error { return e.Cause }
 
+// StaleError reports that the source has publications above After but answered as of an earlier time.
+type StaleError struct {
+	After uint64
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("source answered with nothing above version %d, although it removed a later one", e.After)
+}
+
 // SourceSink installs complete configurations. *control.Loop implements it.
 type SourceSink interface {
 	Offset() uint64
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -36,12 +36,15 @@
 	Delay time.Duration
 	// LoseAnswers is the share of appends that are done and not answered.
 	LoseAnswers float64
+	// StaleNewest answers calls for the newest records as of the last call of FreezeNewest.
+	StaleNewest bool
 }
 
 // Limits of a store, as the platform states them.
 const (
 	pageItems    = 500
 	bodyMax      = 2 << 20
+	readKBMax    = 1024
 	readWaitMax  = 30 * time.Second
 	silentAnswer = time.Hour
 )
@@ -54,6 +57,8 @@
 
 	mu     sync.Mutex
 	faults Faults
+	// frozen are the newest records of a topic that were kept by FreezeNewest.
+	frozen map[string]newestAnswer
 	random *rand.Rand
 	server *http.Server
 	addr   string
@@ -97,6 +102,14 @@
 // DropHistory removes the records of a topic; the newest of each key stay.
 func (s *Store) DropHistory(topic string) { s.Topics.drop(topic + "/0") }
 
+// FreezeNewest keeps the newest records of a topic as they are, for Faults.StaleNewest.
+func (s *Store) FreezeNewest(topic string) {
+	items, more, end := s.Topics.latest(topic+"/0", "", pageItems)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = map[string]newestAnswer{topic + "/0": {items, more, end}}
+}
+
 func (s *Store) current(host string) Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,7 +199,11 @@
 	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
 	waitMS, _ := strconv.Atoi(query.Get("wait-ms"))
 	wait := min(time.Duration(waitMS)*time.Millisecond, readWaitMax)
-	body, gone := s.Topics.read(partitionName(r), from, wait, r.Context().Done())
+	limit := readKBMax
+	if kb, err := strconv.Atoi(query.Get("max-kb")); err == nil {
+		limit = kb
+	}
+	body, gone := s.Topics.read(partitionName(r), from, limit<<10, wait, r.Context().Done())
 	if gone {
 		w.WriteHeader(http.StatusGone)
 		return
@@ -196,5 +213,18 @@
 
 func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
 	items, more, end := s.Topics.latest(partitionName(r), r.URL.Query().Get("after"), pageItems)
-	json.NewEncoder(w).Encode(map[string]any{"items": items, "more": more, "end": end})
+	answer := newestAnswer{items, more, end}
+	s.mu.Lock()
+	if stale, ok := s.frozen[partitionName(r)]; ok && s.faults.StaleNewest {
+		answer = stale
+	}
+	s.mu.Unlock()
+	json.NewEncoder(w).Encode(answer)
+}
+
+// newestAnswer is a page of the newest records of a topic.
+type newestAnswer struct {
+	Items []keyed `json:"items"`
+	More  bool    `json:"more"`
+	End   uint64  `json:"end"`
 }
--- a/standin/platform/topics.go
+++ b/standin/platform/topics.go
@@ -115,15 +115,15 @@
 	p.records = nil
 }
 
-// read returns the encoded records from an offset on. If there are none it waits at most for wait. gone is true if the
-// records were dropped.
-func (t *topics) read(name string, from uint64, wait time.Duration, cancel <-chan struct{}) (body []byte, gone bool) {
+// read returns the encoded records from an offset on, at least one and no more than fit into limit bytes. If there are
+// none it waits at most for wait. gone is true if the records were dropped.
+func (t *topics) read(name string, from uint64, limit int, wait time.Duration, cancel <-chan struct{}) (body []byte, gone bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		t.mu.Lock()
 		p := t.part(name)
-		body, gone = p.encode(from)
+		body, gone = p.encode(from, limit)
 		ready := gone || p.end() > from
 		changed := p.changed
 		t.mu.Unlock()
@@ -140,13 +140,16 @@
 	}
 }
 
-func (p *partition) encode(from uint64) (body []byte, gone bool) {
+func (p *partition) encode(from uint64, limit int) (body []byte, gone bool) {
 	if from < p.first {
 		return nil, true
 	}
 	body = binary.BigEndian.AppendUint64(nil, p.end())
 	body = binary.BigEndian.AppendUint64(body, p.first)
-	for _, r := range p.records[min(from-p.first, uint64(len(p.records))):] {
+	for i, r := range p.records[min(from-p.first, uint64(len(p.records))):] {
+		if i > 0 && len(body)+len(r) > limit {
+			break
+		}
 		body = binary.BigEndian.AppendUint32(body, uint32(len(r)))
 		body = append(body, r...)
 	}
