--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -42,6 +42,10 @@
 	Lose, Cut float64
 	// Extra answers are followed by a second one, Unframed ones end with the connection.
 	Extra, Unframed float64
+	// RepeatRefusals writes the last refusal of a connection once more before the answer to the next request on it.
+	RepeatRefusals bool
+	// NamelessRefusals leaves the id of the request out of refusals.
+	NamelessRefusals bool
 }
 
 // Run is a request as a target saw it.
@@ -86,7 +90,9 @@
 		slots: make(chan struct{}, s.Slots), client: &http.Client{Timeout: time.Second},
 		random: rand.New(rand.NewPCG(s.Seed, 5)),
 	}
-	t.server = &http.Server{Handler: t}
+	t.server = &http.Server{Handler: t, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, lastRefusalKey{}, new(string))
+	}}
 	go t.server.Serve(l)
 	t.beats.Go(func() { t.beat(ctx) })
 	return t, nil
@@ -209,6 +215,30 @@
 	}
 }
 
+// lastRefusalKey is the context key of the last refusal that was written to a connection.
+type lastRefusalKey struct{}
+
+// refuse refuses a request as not run, and keeps the refusal for RepeatRefusals.
+func (t *Target) refuse(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	faults := t.faults
+	t.mu.Unlock()
+	if faults.NamelessRefusals {
+		w.Header().Del("Request-Id")
+	}
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	last, ok := r.Context().Value(lastRefusalKey{}).(*string)
+	if !ok || !faults.RepeatRefusals {
+		return
+	}
+	*last = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+	if id := w.Header().Get("Request-Id"); id != "" {
+		*last += "Request-Id: " + id + "\r\n"
+	}
+	*last += "Content-Length: 0\r\n\r\n"
+}
+
 // HealthPath answers health checks.
 const HealthPath = "/healthz"
 
@@ -246,8 +276,7 @@
 		f.shed = true
 	}
 	if f.shed {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		t.refuse(w, r)
 		return
 	}
 	run := t.begin(r, string(body))
@@ -294,7 +323,10 @@
 	}
 	head := fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\n", status, id, Signature(id))
 	framed := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	last, _ := r.Context().Value(lastRefusalKey{}).(*string)
 	switch {
+	case last != nil && *last != "":
+		t.raw(w, *last+framed)
 	case f.lose:
 		hangUp(w)
 	case f.cut:
