Refuse requests during a stop that may outlive it

An operator reported that requests which came late in the time for a planned stop were passed on and cut at its end, some of which may not be repeated.

A request that had just been passed on got 502, and whether it ran was unknown.

Shorter requests are served as before, so installations whose timeouts are below half of the shutdown timeout see no difference.

--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -335,6 +335,24 @@
 	}
 }
 
+// Guards against a request that is passed on although the node stops before its timeout ends, and against one that is
+// refused although it ends in time.
+func TestRequestsThatOutliveTheStopAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		left time.Duration
+		want outcome.Outcome
+	}{{"ends in time", time.Minute, outcome.Answered}, {"may end too late", time.Second / 2, outcome.RefusedNotRun}} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMesh(script(serves))
+			h := newHandler(m, testView(), 1)
+			h.FinishBy(time.Now().Add(c.left))
+			result := h.Do(t.Context(), &Request{ID: "q", Method: "POST", Host: "h", Path: "/w/1", Timeout: 10 * time.Second})
+			assert.Equal(t, result.Outcome, c.want, "%s", result.Reason)
+		})
+	}
+}
+
 // Guards against a node of an older build that executes an announced request without its body.
 func TestOlderNodesDoNotRunAnnouncedRequests(t *testing.T) {
 	m := newMesh(script(serves))
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -48,6 +48,8 @@
 	counters Counters
 	// refusing is true once the node accepts no more requests.
 	refusing atomic.Bool
+	// finishBy is when requests in flight are canceled, in Unix nanoseconds; 0 if the node does not stop.
+	finishBy atomic.Int64
 	// prunedView is the view for which the tracker was last pruned.
 	prunedView atomic.Pointer[view.View]
 
@@ -109,6 +111,10 @@
 	}
 	digest := requestDigest(route.Name, r)
 	elapsed := h.returning.elapsed(digest, trace.Started, r.Timeout)
+	allowed := limitsOf(route, r, trace.Started, h.settings.DefaultTimeout, elapsed)
+	if by := h.finishBy.Load(); by != 0 && allowed.deadline.UnixNano() > by {
+		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonShutdown, RetryAfter: shutdownRetryAfter}
+	}
 	if elapsed > 0 {
 		h.counters.returned.Add(1)
 	}
@@ -116,7 +122,7 @@
 		handler:    h,
 		view:       v,
 		trace:      trace,
-		limits:     limitsOf(route, r, trace.Started, h.settings.DefaultTimeout, elapsed),
+		limits:     allowed,
 		service:    destination.Service,
 		idempotent: routing.Idempotent(route, r.Method),
 		request: wire.Request{
@@ -203,6 +209,10 @@
 // Bodies returns the store of large request bodies that other nodes fetch from this node.
 func (h *Handler) Bodies() *transfer.BodyStore { return &h.bodies }
 
+// FinishBy refuses further requests whose timeout ends after t as not run, because requests that are still in flight at t
+// are canceled.
+func (h *Handler) FinishBy(t time.Time) { h.finishBy.Store(t.UnixNano()) }
+
 // StopAccepting refuses all further requests as not run because the node is shutting down.
 func (h *Handler) StopAccepting() { h.refusing.Store(true) }
 
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -327,8 +327,12 @@
 }
 
 // finish serves the remaining callers until the rest of the limit is needed for the requests in flight, and then refuses
-// new requests. Callers remain if the platform has no other node for them.
+// new requests. Callers remain if the platform has no other node for them. Requests that may take longer than the rest of
+// the limit are refused at once.
 func (h *Hosted) finish(ctx context.Context, limit time.Duration) error {
+	deadline, _ := ctx.Deadline()
+	end := deadline.Add(-finalResponseMargin)
+	h.dispatch.FinishBy(end)
 	serving, stop := context.WithTimeout(ctx, limit-h.finishTime(limit)-h.live.Load().Platform.LeaveDelay)
 	defer stop()
 	if err := h.dispatch.WaitIdle(serving); err != nil {
@@ -336,8 +340,7 @@
 			Info("callers have not left; new requests are refused")
 	}
 	h.dispatch.StopAccepting()
-	deadline, _ := ctx.Deadline()
-	last := time.AfterFunc(time.Until(deadline)-finalResponseMargin, h.dispatch.CancelInFlight)
+	last := time.AfterFunc(time.Until(end), h.dispatch.CancelInFlight)
 	defer last.Stop()
 	return errors.Join(h.dispatch.WaitIdle(ctx), h.executor.WaitIdle(ctx))
 }
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -32,10 +32,11 @@
 	Seed uint64
 }
 
-// TargetFaults disturb a target. All but Slow are shares of the requests.
+// TargetFaults disturb a target. The numbers other than Slow are shares of the requests.
 type TargetFaults struct {
-	// Slow multiplies the time that requests take; 0 means 1.
-	Slow float64
+	// Slow multiplies the time that requests take; 0 means 1. Least is the shortest time that they take.
+	Slow  float64
+	Least time.Duration
 	// Shed requests are refused as not run, Fail ones end with an error.
 	Shed, Fail float64
 	// Lose requests run, and their connection is reset in place of the answer; Cut ones get half of it.
@@ -211,7 +212,7 @@
 	slow := max(f.Slow, 1)
 	return fate{
 		shed: hit(f.Shed), fail: hit(f.Fail), lose: hit(f.Lose), cut: hit(f.Cut), extra: hit(f.Extra), unframed: hit(f.Unframed),
-		work: time.Duration(t.random.ExpFloat64() * slow * float64(t.settings.Work)),
+		work: max(f.Least, time.Duration(t.random.ExpFloat64()*slow*float64(t.settings.Work))),
 	}
 }
 
