Choose the backups of a node when it needs one

Changes of followers elsewhere also counted as changes of the node's own roles.

The syncer now asks for the backups when no parent has answered in time.

--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -326,6 +326,16 @@
 // TableChanged returns a channel that is closed when there are new updates to forward.
 func (l *Loop) TableChanged() <-chan struct{} { return l.updates.wait() }
 
+// BackupPeers lists the nodes of other failure domains that this node polls while no parent answers.
+func (l *Loop) BackupPeers() []fanout.Peer {
+	var peers []fanout.Peer
+	_ = l.do(context.Background(), func() {
+		self := l.self
+		peers = fanout.BackupPeers(&self, max(0, l.Roles().Rank), l.table.All(), l.isUnreachable, l.settings.Shape)
+	})
+	return peers
+}
+
 // ProbePeers lists the nodes that a follower probes from time to time although it does not sync with them.
 func (l *Loop) ProbePeers(seeds []string) []fanout.Peer {
 	roles := l.roles.Load()
--- a/server/coordination/fanout/backup.go
+++ b/server/coordination/fanout/backup.go
@@ -29,20 +29,21 @@
 // backup decides when a node takes the configuration from another failure domain. Candidates for a parent are tried one
 // after the other, and each one that has gone dark takes the timeout of a poll. Meanwhile the node must not fall behind.
 type backup struct {
-	mu    sync.Mutex
-	peers []Peer
+	mu sync.Mutex
+	// needed is true while the node has a parent.
+	needed bool
 	// answered is when a parent answered last, or when the node got its first parent.
 	answered time.Time
 }
 
-// setPeers replaces the nodes to poll; there are none while the node needs no parent.
-func (b *backup) setPeers(peers []Peer, now time.Time) {
+// setNeeded sets whether the node has a parent.
+func (b *backup) setNeeded(needed bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.peers) == 0 {
+	if needed && !b.needed {
 		b.answered = now
 	}
-	b.peers = peers
+	b.needed = needed
 }
 
 // parentAnswered records a reply of a parent.
@@ -52,11 +53,14 @@
 	b.answered = now
 }
 
-// overdue returns the nodes to poll, and how long no parent has answered.
-func (b *backup) overdue(now time.Time) (peers []Peer, silent time.Duration) {
+// silence returns how long no parent has answered; 0 if the node has none.
+func (b *backup) silence(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.peers, now.Sub(b.answered)
+	if !b.needed {
+		return 0
+	}
+	return now.Sub(b.answered)
 }
 
 // backupLoop polls nodes of other failure domains, one at a time, while no parent has answered for longer than a poll
@@ -64,9 +68,13 @@
 func (s *Syncer) backupLoop(ctx context.Context) {
 	overdueAfter := s.settings.Hold + s.settings.CallTimeoutMargin/2
 	for i := 0; ctx.Err() == nil; {
-		peers, silent := s.backup.overdue(time.Now())
-		if silent < overdueAfter || len(peers) == 0 {
-			pause.For(ctx, max(overdueAfter-silent, s.settings.CallTimeoutMargin/2))
+		if silence := s.backup.silence(time.Now()); silence < overdueAfter {
+			pause.For(ctx, overdueAfter-silence)
+			continue
+		}
+		peers := s.sink.BackupPeers()
+		if len(peers) == 0 {
+			pause.For(ctx, overdueAfter)
 			continue
 		}
 		if !s.pollBackup(ctx, peers[i%len(peers)]) {
--- a/server/coordination/fanout/roles.go
+++ b/server/coordination/fanout/roles.go
@@ -46,9 +46,6 @@
 	// Parents are the nodes to sync with, in order of preference: parent, second parent, then other relays and
 	// members. Empty for a follower.
 	Parents []Peer
-	// Backups are followers of the other failure domains, from which the node takes the configuration while no parent
-	// answers. Empty for a follower.
-	Backups []Peer
 	// Ring is the next follower of the failure domain, or the next member if there is only one follower; its Node is
 	// empty if there is no other member.
 	Ring Peer
@@ -65,7 +62,7 @@
 func (r Roles) Equal(o Roles) bool {
 	return r.ReadsLog == o.ReadsLog && r.Follower == o.Follower && r.Rank == o.Rank && r.Relay == o.Relay &&
 		r.Ring == o.Ring && slices.Equal(r.Parents, o.Parents) && slices.Equal(r.Remote, o.Remote) &&
-		slices.Equal(r.Backups, o.Backups) && slices.Equal(r.Followers, o.Followers)
+		slices.Equal(r.Followers, o.Followers)
 }
 
 // Parent returns the preferred parent; its Node is empty for a follower.
@@ -81,13 +78,7 @@
 func AssignRoles(
 	self *endpoint.Entry, entries []*endpoint.Entry, unreachable func(node string) bool, s Topology,
 ) Roles {
-	domains := make(map[string][]*endpoint.Entry)
-	domains[self.FailureDomain] = append(domains[self.FailureDomain], self)
-	for _, e := range entries {
-		if e.Node != self.Node && e.Live() && !unreachable(e.Node) {
-			domains[e.FailureDomain] = append(domains[e.FailureDomain], e)
-		}
-	}
+	domains := membersByDomain(self, entries, unreachable)
 	own := rank(self.FailureDomain, domains[self.FailureDomain])
 	followers := s.followers(own)
 	relays := own[:min(s.relays(len(own), len(followers)), len(own))]
@@ -100,7 +91,6 @@
 	}
 	if !r.Follower {
 		r.Parents = parents(self, own, followers, relays, r.Relay)
-		r.Backups = rotate(s.remote(self.FailureDomain, domains, r.Rank), r.Rank)
 		return r
 	}
 	switch {
@@ -114,6 +104,33 @@
 	return r
 }
 
+// membersByDomain returns self and the live and reachable entries by failure domain.
+func membersByDomain(
+	self *endpoint.Entry, entries []*endpoint.Entry, unreachable func(node string) bool,
+) map[string][]*endpoint.Entry {
+	domains := make(map[string][]*endpoint.Entry)
+	domains[self.FailureDomain] = append(domains[self.FailureDomain], self)
+	for _, e := range entries {
+		if e.Node != self.Node && e.Live() && !unreachable(e.Node) {
+			domains[e.FailureDomain] = append(domains[e.FailureDomain], e)
+		}
+	}
+	return domains
+}
+
+// BackupPeers returns one follower of every other failure domain, from which a node takes the configuration while no
+// parent answers. Nodes of different rank begin with different domains.
+func BackupPeers(
+	self *endpoint.Entry, rank int, entries []*endpoint.Entry, unreachable func(node string) bool, s Topology,
+) []Peer {
+	list := s.remote(self.FailureDomain, membersByDomain(self, entries, unreachable), rank)
+	if len(list) == 0 {
+		return nil
+	}
+	first := rank % len(list)
+	return slices.Concat(list[first:], list[:first])
+}
+
 // minFollowers is the number of followers of a failure domain that are chosen regardless of their bandwidth.
 const minFollowers = 2
 
@@ -168,15 +185,6 @@
 	return list
 }
 
-// rotate returns a list that begins at an index, so that nodes do not all begin with the same peer.
-func rotate(list []Peer, by int) []Peer {
-	if len(list) == 0 {
-		return nil
-	}
-	by %= len(list)
-	return slices.Concat(list[by:], list[:by])
-}
-
 func peerOf(e *endpoint.Entry) Peer { return Peer{Node: e.Node, Address: e.Address} }
 
 // bandwidthTier groups links by powers of two of their bandwidth. Nodes with high bandwidth are preferred for roles
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -82,6 +82,8 @@
 	TableChanged() <-chan struct{}
 	// KnowsNoPeer reports whether this node knows no other live node.
 	KnowsNoPeer() bool
+	// BackupPeers returns the nodes of other failure domains that this node polls while no parent answers.
+	BackupPeers() []Peer
 	// ProbePeers returns nodes outside this node's sync paths that it contacts from time to time: members that seem to
 	// belong to another tree or to be dead, and seeds that it does not know. Only followers have any.
 	ProbePeers(seeds []string) []Peer
@@ -195,7 +197,7 @@
 
 // apply starts and stops sync loops so that they match the roles.
 func (s *Syncer) apply(active *tasks, r Roles) {
-	s.backup.setPeers(r.Backups, time.Now())
+	s.backup.setNeeded(r.Parent().Node != "", time.Now())
 	wanted := make(map[task]func(context.Context))
 	if r.Parent().Node != "" {
 		hold := s.settings.Hold
