--- a/server/coordination/control/control_test.go
+++ b/server/coordination/control/control_test.go
@@ -25,9 +25,15 @@
 }
 
 func runProfile(t *testing.T, p profile, domains, members int, test func(*testing.T, *cluster)) {
+	runConfigured(t, func(c *cluster) { c.profile = p }, domains, members, test)
+}
+
+func runConfigured(
+	t *testing.T, configure func(*cluster), domains, members int, test func(*testing.T, *cluster),
+) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
-		c.profile = p
+		configure(c)
 		c.append(4)
 		c.start(domains, members)
 		defer c.stop()
--- a/server/coordination/control/readers_lost_test.go
+++ b/server/coordination/control/readers_lost_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -20,32 +19,24 @@
 // hostedProfile has the times of a hosted node.
 var hostedProfile = profile{500 * time.Millisecond, 20 * time.Millisecond, time.Second, 3 * time.Second, 2500 * time.Millisecond}
 
-// runHosted is runProfile with the settings of hosted nodes. In each failure domain the first two nodes have wide links.
-func runHosted(t *testing.T, domains, members int, test func(*testing.T, *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.profile = hostedProfile
-		c.shape = fanout.Topology{Mode: fanout.ModeTree, FollowersPerDomain: 4, RelayChildren: 16}
-		c.reconnectJitter, c.margin = 100*time.Millisecond, 500*time.Millisecond
-		c.linkMbps = func(name string) uint32 {
-			if strings.HasSuffix(name, "-n0") || strings.HasSuffix(name, "-n1") {
-				return 100
-			}
-			return 5
+// asHosted gives a cluster the settings of hosted nodes. In each failure domain the first two nodes have wide links.
+func asHosted(c *cluster) {
+	c.profile = hostedProfile
+	c.shape = fanout.Topology{Mode: fanout.ModeTree, FollowersPerDomain: 4, RelayChildren: 16}
+	c.reconnectJitter, c.margin = 100*time.Millisecond, 500*time.Millisecond
+	c.linkMbps = func(name string) uint32 {
+		if strings.HasSuffix(name, "-n0") || strings.HasSuffix(name, "-n1") {
+			return 100
 		}
-		c.append(4)
-		c.start(domains, members)
-		defer c.stop()
-		assert.Assert(t, c.waitUntil(time.Minute, hasConverged(4, domains*members)), "the cluster did not form")
-		test(t, c)
-	})
+		return 5
+	}
 }
 
 // Guards against an older configuration that stays in force after the readers of a failure domain and most candidates for
 // a parent have gone dark, because the others try them one after the other.
 func TestConfigurationArrivesWhenReadersGoDark(t *testing.T) {
 	const domains, members, left = 4, 22, 5
-	runHosted(t, domains, members, func(t *testing.T, c *cluster) {
+	runConfigured(t, asHosted, domains, members, func(t *testing.T, c *cluster) {
 		dark := make(map[string]bool)
 		for i := range members - left {
 			dark[fmt.Sprintf("d0-n%d", i)] = true
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -164,6 +164,25 @@
 	}
 }
 
+// mutable makes the connections that a pool has open go silent when the returned channel is closed. Later ones work.
+func mutable(pool *Pool) chan struct{} {
+	muted := make(chan struct{})
+	direct := pool.dial
+	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
+		conn, err := direct(ctx, a)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-muted:
+			return conn, nil
+		default:
+			return &mutedConn{Conn: conn, muted: muted}, nil
+		}
+	}
+	return muted
+}
+
 // Guards against garbage from an unauthenticated or faulty peer that harms the server.
 func TestGarbageIsRefused(t *testing.T) {
 	address, _ := startServer(t, testCredential)
@@ -234,20 +253,7 @@
 func TestPoolOfSilentConnections(t *testing.T) {
 	const connections, callsEach = 20, 15
 	pool := newTestPool(t, testCredential)
-	muted := make(chan struct{})
-	direct := pool.dial
-	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
-		conn, err := direct(ctx, a)
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case <-muted:
-			return conn, nil
-		default:
-			return &mutedConn{Conn: conn, muted: muted}, nil
-		}
-	}
+	muted := mutable(pool)
 	args, reply := "a", ""
 	var addresses []string
 	for range connections {
@@ -308,20 +314,7 @@
 func TestSilenceIsMeasuredAcrossShortCalls(t *testing.T) {
 	address, _ := startServer(t, testCredential)
 	pool := newTestPool(t, testCredential)
-	muted := make(chan struct{})
-	direct := pool.dial
-	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
-		conn, err := direct(ctx, a)
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case <-muted:
-			return conn, nil
-		default:
-			return &mutedConn{Conn: conn, muted: muted}, nil
-		}
-	}
+	muted := mutable(pool)
 	call := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), testLimits().SilenceTimeout/2)
 		defer cancel()
