Close the connection after a response that names no request

A response without the id of a request ends it with an unknown outcome, but its connection was kept, and the real response could follow on it.

--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -31,12 +31,16 @@
 	codec := e.settings.Codec
 	codec.Write(req, r, target, remaining)
 	f := e.crashes.register(digest, exclusive)
-	mismatched := func(resp *protocol.Response) bool { return codec.Read(r, resp) == ResponseMismatched }
-	err := e.client.DoSkip(ctx, target.Address, req, resp, remaining, mismatched)
+	kind := ResponseValid
+	attribute := func(resp *protocol.Response) httpclient.Attribution {
+		kind = codec.Read(r, resp)
+		return attributionOf(kind)
+	}
+	err := e.client.DoAttributed(ctx, target.Address, req, resp, remaining, attribute)
 	if err != nil {
 		return e.responseForError(err, f, target.Address)
 	}
-	switch codec.Read(r, resp) {
+	switch kind {
 	case ResponseShed:
 		e.crashes.unregister(f)
 		return markArrived(refused(outcome.ReasonTargetFull))
@@ -54,6 +58,17 @@
 	return markArrived(answered(resp))
 }
 
+func attributionOf(kind ResponseKind) httpclient.Attribution {
+	switch kind {
+	case ResponseMismatched:
+		return httpclient.Foreign
+	case ResponseCorrupt:
+		return httpclient.Unattributed
+	default:
+		return httpclient.Own
+	}
+}
+
 // markArrived marks the request as possibly seen by the target.
 func markArrived(r *wire.Response) *wire.Response {
 	r.Arrived = true
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -121,24 +121,39 @@
 	return c.DoAddress(ctx, withPort(string(uri.Host())), req, resp, timeout)
 }
 
-// Skip reports whether a whole response belongs to another request than the one that was sent.
-type Skip func(*protocol.Response) bool
+// Attribution says to which request a whole response belongs.
+type Attribution uint8
+
+// Attributions.
+const (
+	// Own means that the response belongs to the request that was sent.
+	Own Attribution = iota
+	// Unattributed means that the response does not say to which request it belongs. It is returned, and the connection is
+	// not used again, because the response of the request may follow.
+	Unattributed
+	// Foreign means that the response belongs to another request. It is passed over.
+	Foreign
+)
+
+// Attribute returns to which request a whole response belongs.
+type Attribute func(*protocol.Response) Attribution
 
 // skippedMax limits the responses that are passed over for one request.
 const skippedMax = 4
 
-// DoAddress is DoSkip that takes the first response for the answer.
+// DoAddress is DoAttributed that takes the first response for the answer.
 func (c *Client) DoAddress(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
 	timeout time.Duration,
 ) error {
-	return c.DoSkip(ctx, address, req, resp, timeout, nil)
+	return c.DoAttributed(ctx, address, req, resp, timeout, func(*protocol.Response) Attribution { return Own })
 }
 
-// DoSkip sends the request once to address (host:port) and reads the whole response within the timeout. Responses for
-// which skip is true are passed over; the connection is not used again after one. It returns nil, a *NotSentError or a *LostError. The end of ctx closes the connection, and so does every error, so the
-// server notices a cancellation and a late response is never taken for the answer to a later request.
-func (c *Client) DoSkip(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
-	timeout time.Duration, skip Skip,
+// DoAttributed sends the request once to address (host:port) and reads the whole response within the timeout. Foreign
+// responses are passed over; the connection is not used again after one. It returns nil, a *NotSentError or a *LostError.
+// The end of ctx closes the connection, and so does every error, so the server notices a cancellation and a late response
+// is never taken for the answer to a later request.
+func (c *Client) DoAttributed(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
+	timeout time.Duration, attribute Attribute,
 ) error {
 	ctx, progress, cancel := c.bound(ctx, timeout)
 	defer cancel()
@@ -148,7 +163,7 @@
 	}
 	cn.reader.progress = progress
 	stop := context.AfterFunc(ctx, cn.abort)
-	reusable, err := c.exchange(cn, req, resp, skip)
+	reusable, err := c.exchange(cn, req, resp, attribute)
 	if !stop() {
 		// The context ended: the connection is closed, or about to be.
 		reusable = false
@@ -189,7 +204,9 @@
 }
 
 // exchange writes the request and reads the response. The first result says whether the connection can be reused.
-func (c *Client) exchange(cn *conn, req *protocol.Request, resp *protocol.Response, skip Skip) (bool, error) {
+func (c *Client) exchange(
+	cn *conn, req *protocol.Request, resp *protocol.Response, attribute Attribute,
+) (bool, error) {
 	cn.written = 0
 	w := network.NewWriter(cn)
 	if err := reqI.Write(req, w); err != nil {
@@ -203,10 +220,11 @@
 		if err != nil {
 			return false, err
 		}
-		if skip != nil && skip(resp) {
+		belongs := attribute(resp)
+		if belongs == Foreign {
 			continue
 		}
-		reusable := framed && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
+		reusable := framed && belongs == Own && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
 		cn.noteIdleTimeout(resp, c.limits.IdleTimeout)
 		return reusable, cn.reader.Release()
 	}
--- a/server/transport/httpclient/httpclient_test.go
+++ b/server/transport/httpclient/httpclient_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,6 +157,35 @@
 	assert.NilError(t, err)
 }
 
+// Guards against a connection that is used again although the response of the request before may still come on it.
+func TestUnattributedResponseEndsConnection(t *testing.T) {
+	for _, c := range []struct {
+		belongs     Attribution
+		connections int32
+	}{{Own, 1}, {Unattributed, 2}} {
+		var connections atomic.Int32
+		address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			connections.Add(1)
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		client := newClient(t)
+		for range 2 {
+			req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+			req.Header.SetHost(address)
+			err := client.DoAttributed(t.Context(), address, req, resp, testTimeout, func(*protocol.Response) Attribution {
+				return c.belongs
+			})
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, connections.Load(), c.connections)
+	}
+}
+
 // Guards against reporting a request that was not sent as one that may have run.
 func TestNotSent(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
