Pause between two polls of a backup

A node of an older build does not know polls without entries. It always has entries to send, so it would answer every poll of a newer node at once, and while no parent answers the node would poll it without any wait.

TestConfigurationArrivesWhenReadersGoDark passes five times; go test -race of fanout: ok.

--- a/server/coordination/fanout/backup.go
+++ b/server/coordination/fanout/backup.go
@@ -79,8 +79,9 @@
 		}
 		if !s.pollBackup(ctx, peers[i%len(peers)]) {
 			i++
-			pause.For(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 		}
+		// A node of an older build always has entries to send, and so answers every poll at once.
+		pause.For(ctx, s.settings.Jitter(s.settings.ReconnectJitter))
 	}
 }
 
