Let the soak wait for the address of a target that has ended

No promise of the mesh was broken.

Cause: the soak ends a target and listens on its address again while it starts processes for other nodes. Between fork and exec such a process holds a copy of the listener.

The soak now tries again for two seconds; an address that stays in use is reported as before. TestTargetWaitsForItsAddress failed without the change (address already in use) and passes; TestSeeds passes beside the same load.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -247,14 +248,23 @@
 	}
 }
 
+// addressBound limits the wait for the address of the target before. A process that is being started holds a copy of its
+// listener from fork to exec, which keeps the address in use.
+const addressBound = 2 * time.Second
+
 // startTarget starts the next target beside the node. Its address is that of the link to it.
 func (n *node) startTarget() error {
 	n.starts++
-	target, err := platform.StartTarget(platform.TargetSettings{
+	settings := platform.TargetSettings{
 		Instance: fmt.Sprintf("i-%d-%d", n.id, n.starts), Service: service, Zone: "z", Listen: n.ip + ":7203",
 		Reported: n.targetLink.address(), Control: n.ip + ":7205", Slots: 6, Work: 10 * time.Millisecond, Beat: beat,
 		Seed: n.run.settings.Seed,
-	})
+	}
+	target, err := platform.StartTarget(settings)
+	for end := time.Now().Add(addressBound); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+		target, err = platform.StartTarget(settings)
+	}
 	if err != nil {
 		return err
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -29,3 +30,18 @@
 		assert.Equal(t, len(faults), 0, "seed %d: %v", seed, faults)
 	}
 }
+
+// Guards against a soak that takes an address which is in use for a moment, because a process is being started, for a fault
+// of the mesh.
+func TestTargetWaitsForItsAddress(t *testing.T) {
+	const ip = "127.0.39.1"
+	held, err := net.Listen("tcp", ip+":7203")
+	assert.NilError(t, err)
+	link, err := startProxy(ip+":7103", ip+":7203")
+	assert.NilError(t, err)
+	defer link.close()
+	time.AfterFunc(100*time.Millisecond, func() { held.Close() })
+	n := &node{run: &run{}, ip: ip, targetLink: link}
+	assert.NilError(t, n.startTarget())
+	n.target.Crash()
+}
