--- a/server/coordination/control/installs.go
+++ b/server/coordination/control/installs.go
@@ -42,8 +42,8 @@
 	return slices.Clone(l.installs.last)
 }
 
-// Installation describes how a complete state from a peer came into force on this node.
-type Installation struct {
+// SnapshotInstall describes how a complete state from a peer came into force on this node.
+type SnapshotInstall struct {
 	Version  config.Version
 	Sequence uint64
 	Routes   int
@@ -60,10 +60,10 @@
 	Ready bool
 }
 
-// reportInstallation passes the current state, which a peer sent, to the callback for installations.
-func (l *Loop) reportInstallation(from string, now time.Time) {
+// reportSnapshotInstall passes the current state, which a peer sent, to the callback for snapshot installs.
+func (l *Loop) reportSnapshotInstall(from string, now time.Time) {
 	state := l.state.Load()
-	i := Installation{
+	i := SnapshotInstall{
 		Version: state.Version(), Sequence: state.Sequence(), Routes: len(state.Content().Routes), From: from,
 		HighestSeen: l.highestOffset, ContactAge: l.ContactAge(), Ready: l.ready,
 	}
--- a/server/coordination/control/installs_test.go
+++ b/server/coordination/control/installs_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against a configuration that comes into force without any record of the peer that sent it and of its age.
-func TestInstallationsFromPeersAreReported(t *testing.T) {
+func TestSnapshotInstallsAreReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		state, err := config.FromWhole(&config.Whole{Offset: 5, Sequence: 2, TimeMS: time.Now().UnixMilli()})
 		assert.NilError(t, err)
@@ -25,8 +25,8 @@
 		loop := New(Settings{
 			Shape: fanout.Topology{Mode: fanout.ModeTree, FollowersPerDomain: 2, RelayChildren: 4},
 		}, endpoint.Entry{Node: "n1", FailureDomain: "d"})
-		var reported []Installation
-		loop.OnInstalled(func(i Installation) { reported = append(reported, i) })
+		var reported []SnapshotInstall
+		loop.OnSnapshotInstalled(func(i SnapshotInstall) { reported = append(reported, i) })
 		go loop.Run(t.Context())
 		time.Sleep(300 * time.Millisecond)
 		reply := &wire.SyncReply{Snapshot: data, HighestOffset: 6, Ready: true}
@@ -34,7 +34,7 @@
 			loop.HandleSyncResult(fanout.SyncResult{From: fanout.Peer{Node: "n2", Address: "a2"}, Reply: reply, Sent: time.Now()})
 		}
 		synctest.Wait()
-		assert.DeepEqual(t, reported, []Installation{{
+		assert.DeepEqual(t, reported, []SnapshotInstall{{
 			Version: 5, Sequence: 2, From: "n2", AgeMS: 300, HighestSeen: 6,
 		}})
 	})
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -209,9 +209,9 @@
 // before Run.
 func (l *Loop) OnPeerAhead(f func(fanout.Peer)) { l.notify.onAhead = f }
 
-// OnInstalled sets the function that is called after a complete state from a peer came into force. It must be set before
+// OnSnapshotInstalled sets the function that is called after a complete state from a peer came into force. It must be set before
 // Run.
-func (l *Loop) OnInstalled(f func(Installation)) { l.notify.onInstalled = f }
+func (l *Loop) OnSnapshotInstalled(f func(SnapshotInstall)) { l.notify.onSnapshotInstalled = f }
 
 // UpdateSelf changes the node's own entry on the control goroutine and raises its revision. Changes to the node name
 // and the key are discarded, except for the state. Maps and slices must be replaced, not modified, since views share
--- a/server/coordination/control/notify.go
+++ b/server/coordination/control/notify.go
@@ -31,19 +31,19 @@
 }
 
 // notifier calls the callbacks of a Loop on a goroutine of its own, so that a callback may call the Loop. Only the
-// newest value of each kind is kept, except for installations.
+// newest value of each kind is kept, except for snapshot installs.
 type notifier struct {
-	onRoles        func(fanout.Roles)
-	onDeclaredDead func()
-	onAhead        func(fanout.Peer)
-	onInstalled    func(Installation)
+	onRoles             func(fanout.Roles)
+	onDeclaredDead      func()
+	onAhead             func(fanout.Peer)
+	onSnapshotInstalled func(SnapshotInstall)
 
 	wake         chan struct{}
 	mu           sync.Mutex
 	roles        *fanout.Roles
 	declaredDead bool
 	ahead        *fanout.Peer
-	installed    []Installation
+	installed    []SnapshotInstall
 }
 
 func (n *notifier) init() { n.wake = make(chan struct{}, 1) }
@@ -71,8 +71,8 @@
 		n.roles, n.declaredDead, n.ahead, n.installed = nil, false, nil, nil
 		n.mu.Unlock()
 		for _, i := range installed {
-			if n.onInstalled != nil {
-				n.onInstalled(i)
+			if n.onSnapshotInstalled != nil {
+				n.onSnapshotInstalled(i)
 			}
 		}
 		if dead && n.onDeclaredDead != nil {
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -263,7 +263,7 @@
 	}
 	l.highestOffset = max(l.highestOffset, reply.HighestOffset)
 	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot) {
-		l.reportInstallation(cmp.Or(in.From.Node, in.From.Address), now)
+		l.reportSnapshotInstall(cmp.Or(in.From.Node, in.From.Address), now)
 	}
 	l.applyRecords(reply.Records)
 	// A parent that is not ready may itself have missed versions.
@@ -326,12 +326,12 @@
 // TableChanged returns a channel that is closed when there are new updates to forward.
 func (l *Loop) TableChanged() <-chan struct{} { return l.updates.wait() }
 
-// BackupPeers lists the nodes of other failure domains that this node polls while no parent answers.
-func (l *Loop) BackupPeers() []fanout.Peer {
+// FailoverPeers lists the nodes of other failure domains that this node polls while no parent answers.
+func (l *Loop) FailoverPeers() []fanout.Peer {
 	var peers []fanout.Peer
 	_ = l.do(context.Background(), func() {
 		self := l.self
-		peers = fanout.BackupPeers(&self, max(0, l.Roles().Rank), l.table.All(), l.isUnreachable, l.settings.Shape)
+		peers = fanout.FailoverPeers(&self, max(0, l.Roles().Rank), l.table.All(), l.isUnreachable, l.settings.Shape)
 	})
 	return peers
 }
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -111,8 +111,8 @@
 	}
 	digest := requestDigest(route.Name, r)
 	elapsed := h.returning.elapsed(digest, trace.Started, r.Timeout)
-	allowed := limitsOf(route, r, trace.Started, h.settings.DefaultTimeout, elapsed)
-	if by := h.finishBy.Load(); by != 0 && allowed.deadline.UnixNano() > by {
+	requestLimits := limitsOf(route, r, trace.Started, h.settings.DefaultTimeout, elapsed)
+	if by := h.finishBy.Load(); by != 0 && requestLimits.deadline.UnixNano() > by {
 		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonShutdown, RetryAfter: shutdownRetryAfter}
 	}
 	if elapsed > 0 {
@@ -122,7 +122,7 @@
 		handler:    h,
 		view:       v,
 		trace:      trace,
-		limits:     allowed,
+		limits:     requestLimits,
 		service:    destination.Service,
 		idempotent: routing.Idempotent(route, r.Method),
 		request: wire.Request{
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -32,11 +32,11 @@
 	codec.Write(req, r, target, remaining)
 	f := e.crashes.register(digest, exclusive)
 	kind := ResponseValid
-	attribute := func(resp *protocol.Response) httpclient.Attribution {
+	matcher := func(resp *protocol.Response) httpclient.Match {
 		kind = codec.Read(r, resp)
-		return attributionOf(kind)
+		return matchOf(kind)
 	}
-	err := e.client.DoAttributed(ctx, target.Address, req, resp, remaining, attribute)
+	err := e.client.DoMatched(ctx, target.Address, req, resp, remaining, matcher)
 	if err != nil {
 		return e.responseForError(err, f, target.Address)
 	}
@@ -58,14 +58,14 @@
 	return markArrived(answered(resp))
 }
 
-func attributionOf(kind ResponseKind) httpclient.Attribution {
+func matchOf(kind ResponseKind) httpclient.Match {
 	switch kind {
 	case ResponseMismatched:
-		return httpclient.Foreign
+		return httpclient.Mismatched
 	case ResponseCorrupt:
-		return httpclient.Unattributed
+		return httpclient.Unidentified
 	default:
-		return httpclient.Own
+		return httpclient.Matched
 	}
 }
 
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -29,14 +29,14 @@
 // position is tracked separately.
 type linkKey struct {
 	peer Peer
-	// limited is true for polls between failure domains, for probes and for polls of backups.
+	// limited is true for polls between failure domains, for probes and for polls of failover peers.
 	limited bool
 }
 
 // link returns the sync position for a peer. Positions are kept when roles change, so that a return to a former parent
 // does not transfer the whole table again.
 func (s *Syncer) link(p Peer, relation Relation) *link {
-	key := linkKey{peer: p, limited: betweenDomains(relation)}
+	key := linkKey{peer: p, limited: isLimited(relation)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.links[key]
@@ -109,8 +109,8 @@
 	return s.call(ctx, l, peer, relation, args, acknowledged, out.Sequence)
 }
 
-// betweenDomains reports whether the peer of a sync is not a parent or child of this node.
-func betweenDomains(r Relation) bool { return r == ToRemote || r == ToProbe || r == ToBackup }
+// isLimited reports whether a sync forwards no entries, or only those of dead nodes.
+func isLimited(r Relation) bool { return r == ToRemote || r == ToProbe || r == ToFailover }
 
 func newArgs(out LocalState, relation Relation) *wire.SyncArgs {
 	args := &wire.SyncArgs{
@@ -120,9 +120,9 @@
 		Version:     out.Version,
 		Ready:       out.Ready,
 		Reads:       out.Reads,
-		Peer:        betweenDomains(relation),
+		Peer:        isLimited(relation),
 	}
-	if relation == ToBackup {
+	if relation == ToFailover {
 		args.StateOnly = true
 		return args
 	}
--- a/server/coordination/fanout/roles.go
+++ b/server/coordination/fanout/roles.go
@@ -118,16 +118,16 @@
 	return domains
 }
 
-// BackupPeers returns one follower of every other failure domain, from which a node takes the configuration while no
+// FailoverPeers returns one follower of every other failure domain, from which a node takes the configuration while no
 // parent answers. Nodes of different rank begin with different domains.
-func BackupPeers(
-	self *endpoint.Entry, rank int, entries []*endpoint.Entry, unreachable func(node string) bool, s Topology,
+func FailoverPeers(
+	self *endpoint.Entry, ownRank int, entries []*endpoint.Entry, unreachable func(node string) bool, s Topology,
 ) []Peer {
-	list := s.remote(self.FailureDomain, membersByDomain(self, entries, unreachable), rank)
+	list := s.remote(self.FailureDomain, membersByDomain(self, entries, unreachable), ownRank)
 	if len(list) == 0 {
 		return nil
 	}
-	first := rank % len(list)
+	first := ownRank % len(list)
 	return slices.Concat(list[first:], list[:first])
 }
 
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -35,9 +35,9 @@
 	ToRemote
 	// ToProbe is a single sync with a seed, a node that is considered dead, or a node with a newer offset.
 	ToProbe
-	// ToBackup is the sync of a node whose parents do not answer with a follower of another failure domain. It carries
+	// ToFailover is the sync of a node whose parents do not answer with a follower of another failure domain. It carries
 	// the configuration only.
-	ToBackup
+	ToFailover
 )
 
 // LocalState is what this node sends in a sync.
@@ -82,8 +82,8 @@
 	TableChanged() <-chan struct{}
 	// KnowsNoPeer reports whether this node knows no other live node.
 	KnowsNoPeer() bool
-	// BackupPeers returns the nodes of other failure domains that this node polls while no parent answers.
-	BackupPeers() []Peer
+	// FailoverPeers returns the nodes of other failure domains that this node polls while no parent answers.
+	FailoverPeers() []Peer
 	// ProbePeers returns nodes outside this node's sync paths that it contacts from time to time: members that seem to
 	// belong to another tree or to be dead, and seeds that it does not know. Only followers have any.
 	ProbePeers(seeds []string) []Peer
@@ -124,7 +124,7 @@
 	settings Settings
 	roles    chan Roles
 	pulls    chan Peer
-	backup   backup
+	failover failover
 
 	mu    sync.Mutex
 	seeds SeedAddresses
@@ -183,7 +183,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { s.probeLoop(ctx) })
-	wg.Go(func() { s.backupLoop(ctx) })
+	wg.Go(func() { s.failoverLoop(ctx) })
 	active := newTasks(ctx, &wg)
 	for {
 		select {
@@ -197,7 +197,7 @@
 
 // apply starts and stops sync loops so that they match the roles.
 func (s *Syncer) apply(active *tasks, r Roles) {
-	s.backup.setNeeded(r.Parent().Node != "", time.Now())
+	s.failover.setNeeded(r.Parent().Node != "", time.Now())
 	wanted := make(map[task]func(context.Context))
 	if r.Parent().Node != "" {
 		hold := s.settings.Hold
@@ -299,7 +299,7 @@
 			continue
 		}
 		if relation == ToParent {
-			s.backup.parentAnswered(time.Now())
+			s.failover.parentAnswered(time.Now())
 		}
 		if !answered && relation != ToRemote {
 			wg.Go(func() { s.pushLoop(ctx, l, peer, relation) })
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -132,7 +132,7 @@
 		rolesChanged:  h.rolesChanged,
 		declaredDead:  func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
 	})
-	h.control.OnInstalled(logInstallation)
+	h.control.OnSnapshotInstalled(logSnapshotInstall)
 	h.follower = follow.NewSourceFollower(h.platform.Source(), h.control, follow.SourceFollowerSettings{
 		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, CoalesceDelay: sourceCoalesceDelay,
 	}, log.Log)
@@ -148,8 +148,8 @@
 	}).Info("roles changed")
 }
 
-// logInstallation logs a configuration that a peer sent. The follower logs those that this node reads itself.
-func logInstallation(i control.Installation) {
+// logSnapshotInstall logs a configuration that a peer sent. The follower logs those that this node reads itself.
+func logSnapshotInstall(i control.SnapshotInstall) {
 	log.WithFields(log.Fields{
 		"event": "configuration", "version": i.Version, "sequence": i.Sequence, "routes": i.Routes, "from": i.From,
 		"age_ms": i.AgeMS, "newest": i.HighestSeen, "contact_ms": i.ContactAge.Milliseconds(), "ready": i.Ready,
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -121,39 +121,39 @@
 	return c.DoAddress(ctx, withPort(string(uri.Host())), req, resp, timeout)
 }
 
-// Attribution says to which request a whole response belongs.
-type Attribution uint8
+// Match says whether a whole response belongs to the request that was sent.
+type Match uint8
 
-// Attributions.
+// Matches.
 const (
-	// Own means that the response belongs to the request that was sent.
-	Own Attribution = iota
-	// Unattributed means that the response does not say to which request it belongs. It is returned, and the connection is
+	// Matched means that the response belongs to the request that was sent.
+	Matched Match = iota
+	// Unidentified means that the response does not say to which request it belongs. It is returned, and the connection is
 	// not used again, because the response of the request may follow.
-	Unattributed
-	// Foreign means that the response belongs to another request. It is passed over.
-	Foreign
+	Unidentified
+	// Mismatched means that the response belongs to another request. It is passed over.
+	Mismatched
 )
 
-// Attribute returns to which request a whole response belongs.
-type Attribute func(*protocol.Response) Attribution
+// Matcher returns whether a whole response belongs to the request that was sent.
+type Matcher func(*protocol.Response) Match
 
 // skippedMax limits the responses that are passed over for one request.
 const skippedMax = 4
 
-// DoAddress is DoAttributed that takes the first response for the answer.
+// DoAddress is DoMatched that takes the first response for the answer.
 func (c *Client) DoAddress(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
 	timeout time.Duration,
 ) error {
-	return c.DoAttributed(ctx, address, req, resp, timeout, func(*protocol.Response) Attribution { return Own })
+	return c.DoMatched(ctx, address, req, resp, timeout, func(*protocol.Response) Match { return Matched })
 }
 
-// DoAttributed sends the request once to address (host:port) and reads the whole response within the timeout. Foreign
+// DoMatched sends the request once to address (host:port) and reads the whole response within the timeout. Mismatched
 // responses are passed over; the connection is not used again after one. It returns nil, a *NotSentError or a *LostError.
 // The end of ctx closes the connection, and so does every error, so the server notices a cancellation and a late response
 // is never taken for the answer to a later request.
-func (c *Client) DoAttributed(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
-	timeout time.Duration, attribute Attribute,
+func (c *Client) DoMatched(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
+	timeout time.Duration, matcher Matcher,
 ) error {
 	ctx, progress, cancel := c.bound(ctx, timeout)
 	defer cancel()
@@ -163,7 +163,7 @@
 	}
 	cn.reader.progress = progress
 	stop := context.AfterFunc(ctx, cn.abort)
-	reusable, err := c.exchange(cn, req, resp, attribute)
+	reusable, err := c.exchange(cn, req, resp, matcher)
 	if !stop() {
 		// The context ended: the connection is closed, or about to be.
 		reusable = false
@@ -205,7 +205,7 @@
 
 // exchange writes the request and reads the response. The first result says whether the connection can be reused.
 func (c *Client) exchange(
-	cn *conn, req *protocol.Request, resp *protocol.Response, attribute Attribute,
+	cn *conn, req *protocol.Request, resp *protocol.Response, matcher Matcher,
 ) (bool, error) {
 	cn.written = 0
 	w := network.NewWriter(cn)
@@ -220,11 +220,11 @@
 		if err != nil {
 			return false, err
 		}
-		belongs := attribute(resp)
-		if belongs == Foreign {
+		match := matcher(resp)
+		if match == Mismatched {
 			continue
 		}
-		reusable := framed && belongs == Own && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
+		reusable := framed && match == Matched && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
 		cn.noteIdleTimeout(resp, c.limits.IdleTimeout)
 		return reusable, cn.reader.Release()
 	}
--- a/server/transport/httpclient/httpclient_test.go
+++ b/server/transport/httpclient/httpclient_test.go
@@ -158,11 +158,11 @@
 }
 
 // Guards against a connection that is used again although the response of the request before may still come on it.
-func TestUnattributedResponseEndsConnection(t *testing.T) {
+func TestUnidentifiedResponseEndsConnection(t *testing.T) {
 	for _, c := range []struct {
-		belongs     Attribution
+		match       Match
 		connections int32
-	}{{Own, 1}, {Unattributed, 2}} {
+	}{{Matched, 1}, {Unidentified, 2}} {
 		var connections atomic.Int32
 		address := serve(t, func(conn net.Conn, r *bufio.Reader) {
 			connections.Add(1)
@@ -177,8 +177,8 @@
 		for range 2 {
 			req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 			req.Header.SetHost(address)
-			err := client.DoAttributed(t.Context(), address, req, resp, testTimeout, func(*protocol.Response) Attribution {
-				return c.belongs
+			err := client.DoMatched(t.Context(), address, req, resp, testTimeout, func(*protocol.Response) Match {
+				return c.match
 			})
 			assert.NilError(t, err)
 		}
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// mutable makes the connections that a pool has open go silent when the returned channel is closed. Later ones work.
-func mutable(pool *Pool) chan struct{} {
+// muteOnClose silences the connections that a pool has open when the returned channel is closed. Later ones work.
+func muteOnClose(pool *Pool) chan struct{} {
 	muted := make(chan struct{})
 	direct := pool.dial
 	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
@@ -253,7 +253,7 @@
 func TestPoolOfSilentConnections(t *testing.T) {
 	const connections, callsEach = 20, 15
 	pool := newTestPool(t, testCredential)
-	muted := mutable(pool)
+	muted := muteOnClose(pool)
 	args, reply := "a", ""
 	var addresses []string
 	for range connections {
@@ -314,7 +314,7 @@
 func TestSilenceIsMeasuredAcrossShortCalls(t *testing.T) {
 	address, _ := startServer(t, testCredential)
 	pool := newTestPool(t, testCredential)
-	muted := mutable(pool)
+	muted := muteOnClose(pool)
 	call := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), testLimits().SilenceTimeout/2)
 		defer cancel()
--- a/server/transport/peer/pool.go
+++ b/server/transport/peer/pool.go
@@ -64,7 +64,7 @@
 		return &NotSentError{Cause: err}
 	}
 	now := time.Now().UnixNano()
-	if conn.pending.Add(1) == 1 && !conn.owesResponse() {
+	if conn.pending.Add(1) == 1 && !conn.hasUnansweredCall() {
 		// Silence counts from the start of the first call without a response, not from the last use of an idle connection.
 		conn.stream.lastRead.Store(now)
 	}
@@ -80,8 +80,8 @@
 	}
 }
 
-// owesResponse reports whether a call was abandoned and nothing has arrived since its start.
-func (c *clientConn) owesResponse() bool { return c.abandoned.Load() >= c.stream.lastRead.Load() }
+// hasUnansweredCall reports whether a call was abandoned and nothing has arrived since its start.
+func (c *clientConn) hasUnansweredCall() bool { return c.abandoned.Load() >= c.stream.lastRead.Load() }
 
 func (p *Pool) classify(conn *clientConn, err error) error {
 	if err == nil {
@@ -172,7 +172,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now().UnixNano()
-		if conn.pending.Load() == 0 && !conn.owesResponse() {
+		if conn.pending.Load() == 0 && !conn.hasUnansweredCall() {
 			if now-conn.lastUse.Load() > int64(p.limits.IdleTimeout) {
 				p.drop(conn)
 				return
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -45,8 +45,8 @@
 	Extra, Unframed float64
 	// RepeatRefusals writes the last refusal of a connection once more before the answer to the next request on it.
 	RepeatRefusals bool
-	// NamelessRefusals leaves the id of the request out of refusals.
-	NamelessRefusals bool
+	// RefusalsWithoutID leaves the id of the request out of refusals.
+	RefusalsWithoutID bool
 }
 
 // Run is a request as a target saw it.
@@ -224,7 +224,7 @@
 	t.mu.Lock()
 	faults := t.faults
 	t.mu.Unlock()
-	if faults.NamelessRefusals {
+	if faults.RefusalsWithoutID {
 		w.Header().Del("Request-Id")
 	}
 	w.Header().Set("Not-Executed", "1")
