--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -24,6 +24,7 @@
 	Status     int
 	ID         string
 	Signature  string
+	Header     http.Header
 	Body       string
 	RetryAfter time.Duration
 	// Closes is true if the node asked for the end of the connection.
@@ -122,6 +123,6 @@
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	return Reply{
 		Status: resp.StatusCode, ID: resp.Header.Get("Request-Id"), Signature: resp.Header.Get("Response-Signature"),
-		Body: string(body), Closes: resp.Close, RetryAfter: time.Duration(seconds * float64(time.Second)),
+		Header: resp.Header, Body: string(body), Closes: resp.Close, RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}, nil
 }
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -47,6 +48,11 @@
 	RepeatRefusals bool
 	// RefusalsWithoutID leaves the id of the request out of refusals.
 	RefusalsWithoutID bool
+	// Limits are the values of the fields in which the target states the rate of requests that it takes; none if it states
+	// none. The target does not enforce it.
+	Limits []string
+	// StatesLeaving makes all responses say that the target leaves, without a report.
+	StatesLeaving bool
 }
 
 // Run is a request as a target saw it.
@@ -60,6 +66,12 @@
 	Ended, Dropped bool
 }
 
+// Arrival is a request that reached a target, whether it ran or not.
+type Arrival struct {
+	RequestID string
+	At        time.Time
+}
+
 // Target is an application instance beside a node, with the habits of the platform's targets.
 type Target struct {
 	settings TargetSettings
@@ -75,6 +87,7 @@
 	faults   TargetFaults
 	random   *rand.Rand
 	runs     []*Run
+	arrivals []Arrival
 	sequence int
 	state    string
 }
@@ -155,6 +168,13 @@
 	return err == nil && t.acknowledged(req)
 }
 
+// Arrivals returns the requests that have reached the target so far, without health checks.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.arrivals)
+}
+
 func (t *Target) reportURL() string {
 	return "http://" + t.settings.Control + "/instances/" + t.settings.Instance
 }
@@ -245,7 +265,7 @@
 
 func (t *Target) health(w http.ResponseWriter) {
 	t.mu.Lock()
-	leaving := t.state != "ready"
+	leaving := t.state != "ready" || t.faults.StatesLeaving
 	t.mu.Unlock()
 	w.Header().Set("Instance-Id", t.settings.Instance)
 	if leaving {
@@ -259,6 +279,8 @@
 		t.health(w)
 		return
 	}
+	t.arrive(r)
+	t.stateCondition(w.Header())
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.settings.Instance {
 		w.Header().Set("Instance-Id", t.settings.Instance)
@@ -291,6 +313,24 @@
 	t.answer(w, r, f)
 }
 
+func (t *Target) arrive(r *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, Arrival{RequestID: r.Header.Get("Request-Id"), At: time.Now()})
+}
+
+// stateCondition adds what the target says of itself in every response.
+func (t *Target) stateCondition(header http.Header) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, limit := range t.faults.Limits {
+		header.Add("Server-Limit", limit)
+	}
+	if t.faults.StatesLeaving {
+		header.Set("Server-Leaving", "1")
+	}
+}
+
 func (t *Target) begin(r *http.Request, body string) *Run {
 	left, _ := strconv.Atoi(r.Header.Get("Deadline-Ms"))
 	run := &Run{
