--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -105,6 +105,20 @@
 	r.change("leave", func(current Registration) (Registration, Verdict) { return current.Leave(instance, now) })
 }
 
+// LeaveStated processes the statement of a process of the target, in a response to a request, that it leaves. When it
+// returns, no new request is sent to it.
+func (r *Registrar) LeaveStated(start, request string) {
+	now := time.Now()
+	r.logger.WithFields(log.Fields{"event": "target_states_leaving", "start": start, "request": request}).
+		Info("target says that it leaves")
+	r.change("leave", func(current Registration) (Registration, Verdict) {
+		if current.start() != start {
+			return current, Late
+		}
+		return current.Leave(current.Report.Instance, now)
+	})
+}
+
 // Stop refuses new requests for the target because the node shuts down.
 func (r *Registrar) Stop() {
 	r.mu.Lock()
--- a/server/coordination/execute/condition_test.go
+++ b/server/coordination/execute/condition_test.go
@@ -87,3 +87,15 @@
 	n.SetTarget(restarted)
 	assert.Equal(t, n.Dump().(Dump).Condition.Limited, false, "another process has stated nothing yet")
 }
+
+// Guards against a target that says in a response that it leaves, and whose node does not hear of it before the response is
+// passed on.
+func TestLeavingIsReportedWithTheResponse(t *testing.T) {
+	var left atomic.Value
+	n, head := newStatingNode(t, &left)
+	head.Store("X-Leaving: 1\r\n")
+	response := n.Execute(context.Background(), request("/a"))
+	assert.Equal(t, left.Load(), n.Target().Start)
+	assert.Assert(t, response.TargetState != nil && response.TargetState.Leaving)
+	assert.Equal(t, response.TargetState.Target, n.Target().Start)
+}
--- a/server/coordination/routing/condition_test.go
+++ b/server/coordination/routing/condition_test.go
@@ -71,3 +71,14 @@
 	assert.Assert(t, chosen.Target == nil)
 	assert.Assert(t, chosen.Limited && chosen.FullFor == 99*time.Millisecond, "%+v", chosen)
 }
+
+// Guards against a request to a target that said that it leaves, and against one that is never used again after another
+// process has taken its place.
+func TestLeavingTargetIsNoCandidate(t *testing.T) {
+	s := NodeStats{}
+	s.observeState(&Report{State: &wire.TargetState{Target: "i-1/5", Leaving: true}}, 1000)
+	assert.Assert(t, s.isLeaving(&endpoint.Entry{TargetStart: "i-1/5"}))
+	assert.Assert(t, !s.isLeaving(&endpoint.Entry{TargetStart: "i-1/9"}))
+	s.observeState(&Report{Served: true, SentMS: 2000}, 2100)
+	assert.Assert(t, s.isLeaving(&endpoint.Entry{TargetStart: "i-1/5"}))
+}
--- a/server/coordination/routing/score.go
+++ b/server/coordination/routing/score.go
@@ -144,6 +144,9 @@
 		return false
 	}
 	s := c.Stat(e.Node)
+	if s.isLeaving(e) {
+		return false
+	}
 	if c.NowMS < s.FullUntilMS && e.Node != self {
 		p.skipFull(s, c.NowMS)
 		return false
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -185,6 +185,7 @@
 		Bodies:     transfer.NewFetcher(h.trafficPool.Call, s.Node.LinkMbps, int(s.Limits.BodyMax)),
 		// No request runs before the handler is built.
 		OnTargetError: func() { h.dispatch.TargetFailed() },
+		OnLeaving:     func(start, request string) { h.registrar.LeaveStated(start, request) },
 		Log:           log.Log,
 	})
 	if err != nil {
