--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -36,6 +36,13 @@
 // while the store is not available and gets its configuration from peers.
 const askTimeout = 5 * time.Second
 
+// startAheadMax is how far the start of a target may lie in the future, by the clock of the node. A report with a later start
+// would replace that of the running target, and all its further reports would count as older.
+const startAheadMax = time.Hour
+
+// ErrStartInFuture means that a report states a start that lies in the future.
+var ErrStartInFuture = errors.New("start in the future")
+
 // ErrIncomplete means that a report lacks a required field.
 var ErrIncomplete = errors.New("incomplete report")
 
@@ -76,12 +83,15 @@
 }
 
 // Take processes a report. When it returns, the TargetRunner has the new state, so the report may be acknowledged. The
-// error is ErrIncomplete if the report lacks a required field; an outdated report is no error.
+// error is ErrIncomplete if the report lacks a required field, or ErrStartInFuture; an outdated report is no error.
 func (r *Registrar) Take(report Report) error {
 	if report.Instance == "" || report.Service == "" || report.Address == "" || report.BornMS <= 0 {
 		return ErrIncomplete
 	}
 	now := time.Now()
+	if report.BornMS > now.Add(startAheadMax).UnixMilli() {
+		return ErrStartInFuture
+	}
 	r.change("report", func(current Registration) (Registration, Verdict) { return current.Take(report, now) })
 	if r.Current().Unverified {
 		go r.verify(report)
--- a/server/coordination/seeds/directory.go
+++ b/server/coordination/seeds/directory.go
@@ -36,13 +36,13 @@
 )
 
 // SplitExpired returns the current records of other nodes, and the names of the other nodes whose records are older
-// than RecordTTL.
+// than RecordTTL, or lie as far in the future: those would never expire.
 func SplitExpired(records []Record, own string, now time.Time) (current []Record, expired []string) {
 	for _, r := range records {
 		if r.Node == own {
 			continue
 		}
-		if now.UnixMilli()-r.RenewedMS > RecordTTL.Milliseconds() {
+		if age := now.Sub(time.UnixMilli(r.RenewedMS)); age > RecordTTL || age < -RecordTTL {
 			expired = append(expired, r.Node)
 			continue
 		}
