--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -68,8 +68,12 @@
 
 // Arrival is a request that reached a target, whether it ran or not.
 type Arrival struct {
-	RequestID string
-	At        time.Time
+	RequestID, Instance string
+	At                  time.Time
+	// Limit is the limit that the response states; empty if it states none.
+	Limit string
+	// StatesLeaving is true if the response says that the target leaves.
+	StatesLeaving bool
 }
 
 // Target is an application instance beside a node, with the habits of the platform's targets.
@@ -279,8 +283,7 @@
 		t.health(w)
 		return
 	}
-	t.arrive(r)
-	t.stateCondition(w.Header())
+	t.arrive(r, w.Header())
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.settings.Instance {
 		w.Header().Set("Instance-Id", t.settings.Instance)
@@ -313,16 +316,18 @@
 	t.answer(w, r, f)
 }
 
-func (t *Target) arrive(r *http.Request) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.arrivals = append(t.arrivals, Arrival{RequestID: r.Header.Get("Request-Id"), At: time.Now()})
-}
-
-// stateCondition adds what the target says of itself in every response.
-func (t *Target) stateCondition(header http.Header) {
+// arrive notes an arrival and adds to the header of its response what the target says of itself in every response.
+func (t *Target) arrive(r *http.Request, header http.Header) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	limit := ""
+	if len(t.faults.Limits) > 0 {
+		limit = t.faults.Limits[0]
+	}
+	t.arrivals = append(t.arrivals, Arrival{
+		RequestID: r.Header.Get("Request-Id"), Instance: t.settings.Instance, At: time.Now(), Limit: limit,
+		StatesLeaving: t.faults.StatesLeaving,
+	})
 	for _, limit := range t.faults.Limits {
 		header.Add("Server-Limit", limit)
 	}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -20,6 +20,12 @@
 	past []platform.Run
 	// left is when the end of an instance was acknowledged.
 	left map[string]time.Time
+	// pastArrivals are the arrivals at targets that have ended.
+	pastArrivals []platform.Arrival
+	// entries say through which node a call was sent, and when its answer had come.
+	entries map[string]entry
+	// disturbed holds, by node, when its process or a link of it was disturbed.
+	disturbed map[int][]span
 }
 
 // faultsMax limits the faults that are kept in words.
@@ -28,6 +34,7 @@
 func newCheck() *check {
 	return &check{
 		calls: make(map[string]platform.Call), replies: make(map[string]platform.Reply), left: make(map[string]time.Time),
+		entries: make(map[string]entry), disturbed: make(map[int][]span),
 	}
 }
 
@@ -43,7 +50,7 @@
 }
 
 // seen checks an answer by itself and keeps it.
-func (c *check) seen(call platform.Call, reply platform.Reply) {
+func (c *check) seen(node int, call platform.Call, reply platform.Reply) {
 	switch {
 	case reply.Err != nil:
 	case reply.Status == http.StatusOK && !reply.Whole(call):
@@ -54,6 +61,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replies[call.ID] = reply
+	c.entries[call.ID] = entry{node: node, sent: time.Now().Add(-reply.Took), answered: time.Now()}
 }
 
 func (c *check) fault(rule, detail string) {
@@ -71,10 +79,11 @@
 	c.left[instance] = time.Now()
 }
 
-func (c *check) ended(runs []platform.Run) {
+func (c *check) ended(t *platform.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.past = append(c.past, runs...)
+	c.past = append(c.past, t.Runs()...)
+	c.pastArrivals = append(c.pastArrivals, t.Arrivals()...)
 }
 
 // end compares the runs with the calls and their answers.
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -28,7 +28,12 @@
 		kind := r.random.IntN(len(kinds))
 		choice := r.random.IntN(1 << 16)
 		fmt.Fprintf(r.settings.Out, "seed=%d %s node=%d for=%v choice=%d\n", r.settings.Seed, kinds[kind].name, n.id, lasts.Round(time.Millisecond), choice)
-		wg.Go(func() { kinds[kind].play(r, n, lasts, choice) })
+		wg.Go(func() {
+			if kinds[kind].disturbs {
+				defer r.check.disturb(n.id)()
+			}
+			kinds[kind].play(r, n, lasts, choice)
+		})
 		time.Sleep(time.Duration(r.random.Int64N(int64(gapMax))))
 	}
 }
@@ -36,45 +41,59 @@
 // kind is one kind of fault.
 type kind struct {
 	name string
-	play func(r *run, n *node, lasts time.Duration, choice int)
+	// disturbs is true if the process of the node or a link of it is disturbed.
+	disturbs bool
+	play     func(r *run, n *node, lasts time.Duration, choice int)
 }
 
 var kinds = []kind{
-	{"kill", func(_ *run, n *node, _ time.Duration, _ int) { n.exclusively(func() { n.restart(syscall.SIGKILL) }) }},
-	{"terminate", func(_ *run, n *node, _ time.Duration, _ int) { n.exclusively(func() { n.restart(syscall.SIGTERM) }) }},
-	{"pause", func(_ *run, n *node, lasts time.Duration, _ int) {
+	{"kill", true, func(_ *run, n *node, _ time.Duration, _ int) { n.exclusively(func() { n.restart(syscall.SIGKILL) }) }},
+	{"terminate", true, func(_ *run, n *node, _ time.Duration, _ int) { n.exclusively(func() { n.restart(syscall.SIGTERM) }) }},
+	{"pause", true, func(_ *run, n *node, lasts time.Duration, _ int) {
 		n.exclusively(func() {
 			n.signal(syscall.SIGSTOP)
 			time.Sleep(lasts)
 			n.signal(syscall.SIGCONT)
 		})
 	}},
-	{"hangup", func(_ *run, n *node, _ time.Duration, _ int) { n.exclusively(func() { n.signal(syscall.SIGHUP) }) }},
-	{"link", func(_ *run, n *node, lasts time.Duration, choice int) {
+	{"hangup", false, func(_ *run, n *node, _ time.Duration, _ int) { n.exclusively(func() { n.signal(syscall.SIGHUP) }) }},
+	{"link", true, func(_ *run, n *node, lasts time.Duration, choice int) {
 		link := []*proxy{n.storeLink, n.peerLink, n.targetLink}[choice%3]
 		link.set(linkMode(1 + choice/3%int(linkModes-1)))
 		time.Sleep(lasts)
 		link.set(linkUp)
 	}},
-	{"store", func(r *run, _ *node, lasts time.Duration, choice int) {
+	{"store", false, func(r *run, _ *node, lasts time.Duration, choice int) {
 		r.store.SetFaults(platform.Faults{Mode: platform.Mode(choice % 5), LoseAnswers: float64(choice/5%3) / 4})
 		time.Sleep(lasts)
 		r.store.SetFaults(platform.Faults{})
 	}},
-	{"history", func(r *run, _ *node, _ time.Duration, _ int) { r.store.DropHistory("keyed.op") }},
-	{"configuration", func(r *run, _ *node, _ time.Duration, _ int) { r.publish() }},
-	{"target faults", func(_ *run, n *node, lasts time.Duration, choice int) {
+	{"history", false, func(r *run, _ *node, _ time.Duration, _ int) { r.store.DropHistory("keyed.op") }},
+	{"configuration", false, func(r *run, _ *node, _ time.Duration, _ int) { r.publish() }},
+	{"target faults", false, func(_ *run, n *node, lasts time.Duration, choice int) {
 		share := 0.3
 		f := []platform.TargetFaults{{Slow: 20}, {Shed: share}, {Fail: share}, {Lose: share}, {Cut: share}, {Extra: share}, {Unframed: share}}[choice%7]
 		n.current().SetFaults(f)
 		time.Sleep(lasts)
 		n.current().SetFaults(platform.TargetFaults{})
 	}},
-	{"target crash", func(r *run, n *node, lasts time.Duration, _ int) { n.replaceTarget(r, lasts, nil) }},
-	{"target drain", func(r *run, n *node, lasts time.Duration, _ int) {
+	{"target limit", false, func(_ *run, n *node, lasts time.Duration, choice int) {
+		limits := []string{"0", "1.6", "8", "25.5", "60"}
+		n.current().SetFaults(platform.TargetFaults{Limits: limits[choice%len(limits) : choice%len(limits)+1]})
+		time.Sleep(lasts + limitStability + limitWindow)
+		n.current().SetFaults(platform.TargetFaults{})
+	}},
+	{"target states leaving", false, func(r *run, n *node, lasts time.Duration, _ int) {
+		n.replaceTarget(r, drainBound+lasts, func(t *platform.Target) bool {
+			t.SetFaults(platform.TargetFaults{StatesLeaving: true})
+			return false
+		})
+	}},
+	{"target crash", false, func(r *run, n *node, lasts time.Duration, _ int) { n.replaceTarget(r, lasts, nil) }},
+	{"target drain", false, func(r *run, n *node, lasts time.Duration, _ int) {
 		n.replaceTarget(r, drainBound+lasts, (*platform.Target).Drain)
 	}},
-	{"target leave", func(r *run, n *node, lasts time.Duration, _ int) {
+	{"target leave", false, func(r *run, n *node, lasts time.Duration, _ int) {
 		n.replaceTarget(r, drainBound+lasts, (*platform.Target).Leave)
 	}},
 }
@@ -124,7 +143,7 @@
 		if leave == nil {
 			time.Sleep(lasts)
 		}
-		r.check.ended(target.Runs())
+		r.check.ended(target)
 		if err := n.startTarget(); err != nil {
 			r.check.fault("START", err.Error())
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -106,6 +106,7 @@
 	stop()
 	wg.Wait()
 	r.check.end(r.allRuns())
+	r.check.endConditions(r.allArrivals())
 	fmt.Fprintf(s.Out, "seed=%d %s\n", s.Seed, r.check.summary())
 	return r.check.faults, nil
 }
@@ -282,6 +283,14 @@
 	return append(all, r.check.past...)
 }
 
+func (r *run) allArrivals() []platform.Arrival {
+	var all []platform.Arrival
+	for _, n := range r.nodes {
+		all = append(all, n.target.Arrivals()...)
+	}
+	return append(all, r.check.pastArrivals...)
+}
+
 // awaitServing waits until every node answers a request.
 func (r *run) awaitServing(ctx context.Context, limit time.Duration) error {
 	end := time.Now().Add(limit)
@@ -301,7 +310,7 @@
 	defer caller.Close()
 	call := r.check.next("/write/1")
 	reply := caller.Do(ctx, call)
-	r.check.seen(call, reply)
+	r.check.seen(n.id, call, reply)
 	return reply.Whole(call)
 }
 
@@ -316,7 +325,7 @@
 		}
 		call := r.check.next(path)
 		reply := caller.Do(context.WithoutCancel(ctx), call)
-		r.check.seen(call, reply)
+		r.check.seen(n.id, call, reply)
 		if !reply.Whole(call) {
 			time.Sleep(max(reply.RetryAfter, 10*time.Millisecond))
 		}
