--- a/server/coordination/execute/condition.go
+++ b/server/coordination/execute/condition.go
@@ -72,15 +72,16 @@
 func (e *Executor) resetCondition(start string) {
 	c := &e.condition
 	c.mu.Lock()
-	if c.start == start {
-		c.mu.Unlock()
-		return
+	wasLimited := c.known.Limited && c.start != start
+	if c.start != start {
+		c.start, c.known, c.own, c.leaving, c.unreadableLogged = start, ratelimit.Known{}, false, false, false
 	}
-	wasLimited := c.known.Limited
-	c.start, c.known, c.own, c.leaving, c.unreadableLogged = start, ratelimit.Known{}, false, false, false
-	c.mu.Unlock()
 	if wasLimited {
+		// Under the lock, as in changeLimit.
 		e.Gate.SetLimit(ratelimit.Known{})
+	}
+	c.mu.Unlock()
+	if wasLimited {
 		e.publishLimit()
 	}
 }
