--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -180,11 +180,12 @@
 	}
 	q := s.normal.getOrCreate(a.Kind, a.Priority, a.Nested)
 	defer s.normal.prune()
-	if s.isFree(now) && (!a.Late || s.limiter.Full(now)) {
+	startsLast := a.Late && !a.BodyFetched
+	if s.isFree(now) && (!startsLast || s.limiter.Full(now)) {
 		s.start(now, q)
 		return Granted, outcome.ReasonNone
 	}
-	if a.Late && !a.BodyFetched {
+	if startsLast {
 		return s.admitLate(now, q, a)
 	}
 	if len(q.waiting) >= s.settings.Queue {
--- a/server/coordination/admission/limit_test.go
+++ b/server/coordination/admission/limit_test.go
@@ -99,3 +99,18 @@
 	}
 	assert.Equal(t, len(s.SetLimit(now.Add(time.Second), ratelimit.Known{})), 12)
 }
+
+// Guards against a late request with a fetched body that waits without an event to start it, because the limit would let it
+// through and nothing else runs.
+func TestLateRequestWithBodyStartsWithinTheLimit(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	s := New(Settings{Slots: 18, Queue: 36})
+	s.SetLimit(now, limited(10))
+	now = now.Add(200 * time.Millisecond)
+	verdict, _ := s.Admit(now, Arrival{ID: 1, Deadline: now.Add(time.Second), Late: true, BodyFetched: true})
+	assert.Equal(t, verdict, Granted)
+	verdict, _ = s.Admit(now, Arrival{ID: 2, Deadline: now.Add(5 * time.Second), Late: true})
+	assert.Equal(t, verdict, Queued)
+	_, wake := s.WakeAt(now)
+	assert.Assert(t, wake)
+}
