--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -64,7 +64,8 @@
 	l.MaxConnections = c.settings.Limits.ConnectionsMax
 	l.IdleTimeout = c.settings.Limits.IdleTimeout
 	l.SilenceTimeout = c.settings.Limits.SilenceTimeout
-	l.PingInterval = l.SilenceTimeout / 3
+	l.PingInterval = l.SilenceTimeout / 5
+	l.PingTimeout = l.SilenceTimeout / 10
 	return l
 }
 
@@ -73,6 +74,8 @@
 	l := c.trafficLimits()
 	l.SilenceTimeout = c.settings.Fanout.SyncHold + controlSlack
 	l.PingInterval = l.SilenceTimeout - controlSlack/2
+	// A node has one poll at a time, which fails over to another node.
+	l.PingTimeout = 0
 	return l
 }
 
--- a/server/transport/peer/peer.go
+++ b/server/transport/peer/peer.go
@@ -31,6 +31,9 @@
 	WriteTimeout     time.Duration
 	// PingInterval is how long a client with pending calls waits for a frame before it sends a ping.
 	PingInterval time.Duration
+	// PingTimeout is how long after a ping without a frame new calls use another connection. Pending calls keep theirs
+	// until SilenceTimeout, since their responses may still arrive. 0 means never.
+	PingTimeout time.Duration
 	// SilenceTimeout is how long a client with pending or abandoned calls waits for a frame before it gives the
 	// connection up.
 	SilenceTimeout time.Duration
@@ -47,7 +50,8 @@
 		DialTimeout:      time.Second,
 		HandshakeTimeout: 2 * time.Second,
 		WriteTimeout:     2 * time.Second,
-		PingInterval:     300 * time.Millisecond,
+		PingInterval:     200 * time.Millisecond,
+		PingTimeout:      100 * time.Millisecond,
 		SilenceTimeout:   time.Second,
 		IdleTimeout:      time.Minute,
 	}
@@ -61,6 +65,7 @@
 	open          atomic.Int64
 	refused       atomic.Int64
 	silent        atomic.Int64
+	replaced      atomic.Int64
 }
 
 // CounterValues is a copy of the counters, in bytes and connections since the start.
@@ -71,6 +76,8 @@
 	Refused int64
 	// Silent counts connections that were given up because nothing arrived on them.
 	Silent int64
+	// Replaced counts connections that new calls left because a ping was not answered.
+	Replaced int64
 }
 
 // Values returns the current values.
@@ -82,6 +89,7 @@
 		Open:          c.open.Load(),
 		Refused:       c.refused.Load(),
 		Silent:        c.silent.Load(),
+		Replaced:      c.replaced.Load(),
 	}
 }
 
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -332,3 +333,87 @@
 	}
 	t.Fatalf("%d calls were lost on a silent connection", callsMax)
 }
+
+// newImpatientPool returns a pool that leaves a connection after an unanswered ping, and never gives one up as silent.
+func newImpatientPool(t *testing.T) *Pool {
+	t.Helper()
+	limits := testLimits()
+	limits.PingTimeout = 20 * time.Millisecond
+	limits.SilenceTimeout = time.Hour
+	p := NewPool(testCredential, limits)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Guards against new calls that are sent on a connection whose pings are not answered, until it counts as silent: they would
+// all be lost, although a new connection works.
+func TestNewCallsLeaveAConnectionWithAnUnansweredPing(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	pool := newImpatientPool(t)
+	muted := muteOnClose(pool)
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		args, reply := "a", ""
+		return pool.Call(ctx, address, "Echo.Say", &args, &reply)
+	}
+	assert.NilError(t, call())
+	close(muted)
+	const callsMax = 40
+	for range callsMax {
+		if call() == nil {
+			assert.Equal(t, pool.Counters().Values().Replaced, int64(1))
+			return
+		}
+	}
+	t.Fatalf("%d calls were lost on a connection whose pings are not answered", callsMax)
+}
+
+// stalledConn delivers nothing until released is closed.
+type stalledConn struct {
+	net.Conn
+	stalled atomic.Bool
+	release chan struct{}
+}
+
+func (c *stalledConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.stalled.Load() {
+		<-c.release
+	}
+	return n, err
+}
+
+// Guards against a pending call that is lost because new calls have left its connection, which was only slow.
+func TestPendingCallKeepsAReplacedConnection(t *testing.T) {
+	address, _ := startServer(t, testCredential)
+	pool := newImpatientPool(t)
+	var first *stalledConn
+	direct := pool.dial
+	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
+		conn, err := direct(ctx, a)
+		if err != nil || first != nil {
+			return conn, err
+		}
+		first = &stalledConn{Conn: conn, release: make(chan struct{})}
+		return first, nil
+	}
+	args, reply := "a", ""
+	assert.NilError(t, pool.Call(context.Background(), address, "Echo.Say", &args, &reply))
+	first.stalled.Store(true)
+	pending := make(chan error, 1)
+	go func() {
+		args, reply := "slow", ""
+		pending <- pool.Call(context.Background(), address, "Echo.Say", &args, &reply)
+	}()
+	for pool.Counters().Values().Replaced == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, pool.Call(context.Background(), address, "Echo.Say", &args, &reply))
+	assert.Equal(t, pool.Counters().Values().Open, int64(2))
+	close(first.release)
+	assert.NilError(t, <-pending)
+	for pool.Counters().Values().Open != 1 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/server/transport/peer/pool.go
+++ b/server/transport/peer/pool.go
@@ -18,9 +18,11 @@
 	// dial opens a connection; tests replace it.
 	dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu     sync.Mutex
-	conns  map[string]*clientConn
-	closed bool
+	mu    sync.Mutex
+	conns map[string]*clientConn
+	// replaced holds the connections that only their pending calls still use.
+	replaced map[*clientConn]struct{}
+	closed   bool
 }
 
 // clientConn is one connection, or the attempt to open it.
@@ -46,6 +48,7 @@
 		credential: credential,
 		limits:     limits,
 		conns:      make(map[string]*clientConn),
+		replaced:   make(map[*clientConn]struct{}),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -160,8 +163,8 @@
 	}()
 }
 
-// watch pings a connection that is quiet while calls are pending or after one was abandoned, gives it up when it stays
-// silent, and closes it when it is idle.
+// watch pings a connection that is quiet while calls are pending or after one was abandoned, replaces it for new calls when a
+// ping is not answered, gives it up when it stays silent, and closes it when it is idle.
 func (p *Pool) watch(conn *clientConn) {
 	ticker := time.NewTicker(p.limits.PingInterval / 2)
 	defer ticker.Stop()
@@ -173,6 +176,11 @@
 		}
 		now := time.Now().UnixNano()
 		if conn.pending.Load() == 0 && !conn.hasUnansweredCall() {
+			if conn.dead.Load() {
+				// It was replaced, and its last call has ended.
+				p.drop(conn)
+				return
+			}
 			if now-conn.lastUse.Load() > int64(p.limits.IdleTimeout) {
 				p.drop(conn)
 				return
@@ -186,6 +194,9 @@
 			p.drop(conn)
 			return
 		case quiet >= p.limits.PingInterval:
+			if p.limits.PingTimeout > 0 && quiet >= p.limits.PingInterval+p.limits.PingTimeout {
+				p.replace(conn)
+			}
 			if err := conn.stream.writer.control(framePing); err != nil {
 				p.drop(conn)
 				return
@@ -198,12 +209,29 @@
 func (p *Pool) forget(conn *clientConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.remove(conn)
+	delete(p.replaced, conn)
+}
+
+func (p *Pool) remove(conn *clientConn) {
 	conn.dead.Store(true)
 	if p.conns[conn.address] == conn {
 		delete(p.conns, conn.address)
 	}
 }
 
+// replace lets the next call open a new connection, while the pending calls keep theirs.
+func (p *Pool) replace(conn *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn.dead.Load() || p.closed {
+		return
+	}
+	p.remove(conn)
+	p.replaced[conn] = struct{}{}
+	p.counter.replaced.Add(1)
+}
+
 // drop removes and closes a connection.
 func (p *Pool) drop(conn *clientConn) {
 	p.forget(conn)
@@ -236,6 +264,9 @@
 	for _, conn := range p.conns {
 		conns = append(conns, conn)
 	}
+	for conn := range p.replaced {
+		conns = append(conns, conn)
+	}
 	p.mu.Unlock()
 	for _, conn := range conns {
 		<-conn.opened
