--- a/server/coordination/announce/registrar_test.go
+++ b/server/coordination/announce/registrar_test.go
@@ -38,10 +38,10 @@
 func TestReportFromTheFutureReplacesNoTarget(t *testing.T) {
 	now := time.Now()
 	r, runner := registrarOf(t, now.UnixMilli())
-	odd := Report{
+	malformed := Report{
 		Instance: "i-2", BornMS: now.Add(24 * time.Hour).UnixMilli(), Sequence: 1, Service: "orders", Address: "127.0.0.1:81",
 	}
-	assert.Assert(t, errors.Is(r.Take(odd), ErrStartInFuture))
+	assert.Assert(t, errors.Is(r.Take(malformed), ErrStartInFuture))
 	assert.Equal(t, runner.Instance, "i-1")
 	assert.Equal(t, r.Current().Report.Instance, "i-1")
 }
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -334,8 +334,8 @@
 	t.Fatalf("%d calls were lost on a silent connection", callsMax)
 }
 
-// newImpatientPool returns a pool that leaves a connection after an unanswered ping, and never gives one up as silent.
-func newImpatientPool(t *testing.T) *Pool {
+// newPingTimeoutPool returns a pool that leaves a connection after an unanswered ping, and never gives one up as silent.
+func newPingTimeoutPool(t *testing.T) *Pool {
 	t.Helper()
 	limits := testLimits()
 	limits.PingTimeout = 20 * time.Millisecond
@@ -349,7 +349,7 @@
 // all be lost, although a new connection works.
 func TestNewCallsLeaveAConnectionWithAnUnansweredPing(t *testing.T) {
 	address, _ := startServer(t, testCredential)
-	pool := newImpatientPool(t)
+	pool := newPingTimeoutPool(t)
 	muted := muteOnClose(pool)
 	call := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
@@ -387,7 +387,7 @@
 // Guards against a pending call that is lost because new calls have left its connection, which was only slow.
 func TestPendingCallKeepsAReplacedConnection(t *testing.T) {
 	address, _ := startServer(t, testCredential)
-	pool := newImpatientPool(t)
+	pool := newPingTimeoutPool(t)
 	var first *stalledConn
 	direct := pool.dial
 	pool.dial = func(ctx context.Context, a string) (net.Conn, error) {
