review: cases 3 and 4 within the shares of the sites

One of four backends leaves or turns slow instead of one of two, and in case 4 clients of four machines send.

--- a/review/driver/late_reports.go
+++ b/review/driver/late_reports.go
@@ -16,7 +16,7 @@
 
 // lateReports: the reports of a backend arrive seconds late, also those that it sent before it left.
 func lateReports(w *world, trouble bool) (bool, error) {
-	backends, err := w.deploy("vitrine", "vitrine", "atelier")
+	backends, err := w.deploy("vitrine", "vitrine", "vitrine", "vitrine", "atelier")
 	if err != nil {
 		return false, err
 	}
--- a/review/driver/slow_drain.go
+++ b/review/driver/slow_drain.go
@@ -17,6 +17,7 @@
 	submitWork   = 220 * time.Millisecond
 	// slowFactor is how many times as long the requests of a backend take that turns slow.
 	slowFactor = 12
+	clients    = 24
 	// littleLonger is how much longer than the drain bound the backend serves.
 	littleLonger = time.Second
 )
@@ -25,7 +26,7 @@
 func slowDrain(w *world, trouble bool) (bool, error) {
 	w.publish(8, submitRule)
 	w.budget = submitBudget
-	backends, err := w.deploy("vitrine", "vitrine", "atelier")
+	backends, err := w.deploy("vitrine", "vitrine", "vitrine", "vitrine", "atelier")
 	if err != nil {
 		return false, err
 	}
@@ -37,20 +38,23 @@
 	leaver := backends[0]
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	// The clients of the machine: each sends its next request when the last one has ended.
-	for client := range 24 {
-		wg.Go(func() {
-			time.Sleep(time.Duration(client) * 10 * time.Millisecond)
-			for {
-				select {
-				case <-stop:
-					return
-				default:
+	// The clients of each machine with a backend of the service, a third more than it has slots. Each sends its next request when
+	// the last one has ended.
+	for _, b := range backends[:4] {
+		for client := range clients {
+			wg.Go(func() {
+				time.Sleep(time.Duration(client) * 10 * time.Millisecond)
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					b.node.send(http.MethodPost, "/submit/a", w.nextID())
+					time.Sleep(20 * time.Millisecond)
 				}
-				leaver.node.send(http.MethodPost, "/submit/a", w.nextID())
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
+			})
+		}
 	}
 	time.Sleep(6 * time.Second)
 	if trouble {
