--- a/review/driver/slow_drain.go
+++ b/review/driver/slow_drain.go
@@ -63,7 +63,7 @@
 		leaver.work = slowFactor * submitWork
 		leaver.mu.Unlock()
 	}
-	time.Sleep(400 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	leaver.mu.Lock()
 	leaver.leaving = true
 	leaver.mu.Unlock()
