--- a/server/coordination/execute/condition_test.go
+++ b/server/coordination/execute/condition_test.go
@@ -36,6 +36,8 @@
 	target := newTarget(t, func(*http.Request, *bufio.Reader) string {
 		return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + head.Load().(string) + "\r\nok"
 	})
+	// An end of the connection that the response does not announce would reach the next request.
+	target.keepsOpen = true
 	return newNode(t, target.address, func(s *Settings, d *Dependencies) {
 		s.Codec = statingCodec{}
 		d.OnLeaving = func(start, _ string) { left.Store(start) }
--- a/server/coordination/execute/target_test.go
+++ b/server/coordination/execute/target_test.go
@@ -33,6 +33,8 @@
 	address string
 	// handle returns the raw response; an empty response closes the connection.
 	handle func(*http.Request, *bufio.Reader) string
+	// keepsOpen is true if the connection stays open after any response that is not empty.
+	keepsOpen bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -88,7 +90,7 @@
 			return
 		}
 		io.WriteString(conn, answer)
-		if answer != okAnswer {
+		if answer != okAnswer && !s.keepsOpen {
 			return
 		}
 	}
