Block a request only on evidence from crashes while it ran alone

Cause: each crash counted for every request in flight, and the counts of all nodes were added up to crash_limit, so targets that end together convict any request that all callers send. A complete run cleared the count of its own node only, and a refused digest never runs.

Change: a crash beside other requests makes a suspect, which runs alone; only crashes while it ran alone add up. A complete run acquits the digest on all nodes through a clearance in the endpoint entry. The end of a leaving target is no evidence; a garbled response is no complete run.

--- a/server/coordination/execute/counters.go
+++ b/server/coordination/execute/counters.go
@@ -47,6 +47,7 @@
 	Refused       map[outcome.Reason]int64
 	Crashes       int64
 	CrashCounts   []endpoint.CrashCount
+	Cleared       []endpoint.Clearance
 	Blocked       int64
 	Condition     ConditionDump
 }
@@ -70,7 +71,8 @@
 		Cancelled:     e.Counters.Cancelled.Load(),
 		Refused:       e.Counters.Refused.Load(),
 		Crashes:       e.Counters.Crashes.Load(),
-		CrashCounts:   e.crashes.localCounts(),
+		CrashCounts:   e.crashes.ownLedger().Crashes,
+		Cleared:       e.crashes.ownLedger().Cleared,
 		Blocked:       e.Counters.SuspectsBlocked.Load(),
 		Condition:     e.dumpCondition(),
 	}
--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -20,10 +20,6 @@
 // maxBroken limits the number of requests with a broken connection that are kept.
 const maxBroken = 64
 
-// maxCleared limits the number of digests cleared on this node. At the limit all entries are dropped, and suspect
-// requests run exclusively once more.
-const maxCleared = 1024
-
 // probeDelays are the delays before each connection attempt that checks for a crash. A dying process closes its
 // connections and its listener one after the other, so the first attempt may still be accepted.
 var probeDelays = []time.Duration{0, 10 * time.Millisecond, 40 * time.Millisecond}
@@ -34,8 +30,10 @@
 
 // inFlightRequest is a request that may have reached the target.
 type inFlightRequest struct {
-	digest     uint64
-	exclusive  bool
+	digest    uint64
+	exclusive bool
+	// sequence numbers the requests in the order in which they were registered.
+	sequence   uint64
 	generation uint64
 	brokenAt   time.Time
 }
@@ -50,38 +48,42 @@
 // crashTracker attributes crashes of the target to the requests in flight.
 type crashTracker struct {
 	limits suspect.Limits
-	// changed is called after a change of the crash counts.
+	// others returns what the other nodes state.
+	others func() *suspect.Index
+	// changed is called after a change of the ledger.
 	changed func()
 	probes  singleflight.Group
-	counts  atomic.Pointer[suspect.Counts]
+	ledger  atomic.Pointer[suspect.Ledger]
 
 	mu sync.Mutex
 	// generation is incremented at each crash or restart of the target.
 	generation uint64
-	flights    map[*inFlightRequest]struct{}
-	broken     []*inFlightRequest
-	// cleared maps a digest to the latest expiry of the crash counts of other nodes that a successful exclusive run
-	// on this node has cleared.
-	cleared map[uint64]int64
+	// sequence is that of the request registered last.
+	sequence uint64
+	flights  map[*inFlightRequest]struct{}
+	broken   []*inFlightRequest
 }
 
-func newCrashTracker(l suspect.Limits, changed func()) *crashTracker {
-	c := &crashTracker{
-		limits: l, changed: changed,
-		flights: make(map[*inFlightRequest]struct{}), cleared: make(map[uint64]int64),
-	}
-	c.counts.Store(&suspect.Counts{})
+func newCrashTracker(l suspect.Limits, others func() *suspect.Index, changed func()) *crashTracker {
+	c := &crashTracker{limits: l, others: others, changed: changed, flights: make(map[*inFlightRequest]struct{})}
+	c.ledger.Store(&suspect.Ledger{})
 	return c
 }
 
-// localCounts returns the crash counts recorded by this node.
-func (c *crashTracker) localCounts() suspect.Counts { return *c.counts.Load() }
+// ownLedger returns the crash counts and clearances of this node.
+func (c *crashTracker) ownLedger() suspect.Ledger { return *c.ledger.Load() }
+
+// standing returns how a request is to be run.
+func (c *crashTracker) standing(digest uint64) suspect.Standing {
+	return suspect.Judge(digest, c.ownLedger(), c.others(), time.Now().UnixMilli(), c.limits)
+}
 
 // register adds a request that is about to be sent.
 func (c *crashTracker) register(digest uint64, exclusive bool) *inFlightRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f := &inFlightRequest{digest: digest, exclusive: exclusive, generation: c.generation}
+	c.sequence++
+	f := &inFlightRequest{digest: digest, exclusive: exclusive, sequence: c.sequence, generation: c.generation}
 	c.flights[f] = struct{}{}
 	return f
 }
@@ -93,37 +95,30 @@
 	delete(c.flights, f)
 }
 
-// clearedUntil returns the latest expiry of the crash counts of other nodes that no longer make the digest a
-// suspect on this node.
-func (c *crashTracker) clearedUntil(digest uint64) int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cleared[digest]
-}
-
-// complete removes a request that the target completed, and its crash count. If the request ran exclusively, the
-// crash counts of other nodes with an expiry up to latest are cleared as well. Otherwise a digest sent by many
-// callers would run exclusively at every target until the target that crashed while running it is back.
-func (c *crashTracker) complete(f *inFlightRequest, latest int64) {
+// complete removes a request that the target ran to its end. A request that crashes the targets that run it never gets
+// there, so the crashes that are attributed to it have another cause: the counts of all nodes are cleared.
+func (c *crashTracker) complete(f *inFlightRequest) {
+	c.unregister(f)
+	nowMS := time.Now().UnixMilli()
+	if suspect.Latest(f.digest, c.ownLedger(), c.others(), nowMS) == 0 {
+		return
+	}
 	c.mu.Lock()
-	delete(c.flights, f)
-	if f.exclusive && latest > 0 {
-		if len(c.cleared) >= maxCleared {
-			clear(c.cleared)
-		}
-		c.cleared[f.digest] = latest
+	own := c.ownLedger()
+	latest := suspect.Latest(f.digest, own, c.others(), nowMS)
+	if latest > 0 {
+		next := own.Clear(f.digest, latest, nowMS, c.limits)
+		c.ledger.Store(&next)
 	}
-	before := c.localCounts()
-	after := before.Complete(f.digest)
-	c.counts.Store(&after)
 	c.mu.Unlock()
-	if len(after) != len(before) {
+	if latest > 0 {
 		c.changed()
 	}
 }
 
-// connectionBroken checks for a crash of the target after the connection of a request broke.
-func (c *crashTracker) connectionBroken(f *inFlightRequest, address string) crashResult {
+// connectionBroken checks for a crash of the target after the connection of a request broke. leaving is true if the target
+// has announced its end.
+func (c *crashTracker) connectionBroken(f *inFlightRequest, address string, leaving bool) crashResult {
 	c.mu.Lock()
 	delete(c.flights, f)
 	if f.generation != c.generation {
@@ -141,21 +136,22 @@
 	if !refusing.(bool) {
 		return crashResult{}
 	}
-	return crashResult{crashed: true, first: c.recordCrash(f.generation)}
+	return crashResult{crashed: true, first: c.recordCrash(f.generation, leaving)}
 }
 
 // targetRestarted attributes a restart of the target to the requests that it interrupted. It reports whether there
 // were any.
-func (c *crashTracker) targetRestarted() bool {
+func (c *crashTracker) targetRestarted(leaving bool) bool {
 	c.mu.Lock()
 	generation := c.generation
 	c.mu.Unlock()
-	return c.recordCrash(generation)
+	return c.recordCrash(generation, leaving)
 }
 
-// recordCrash increments the crash counts of the requests in flight and starts the next generation. It reports
-// whether the generation had not been recorded before and had requests in flight.
-func (c *crashTracker) recordCrash(generation uint64) bool {
+// recordCrash attributes a crash to the requests in flight and starts the next generation. It reports whether the generation
+// had not been recorded before and had requests in flight. The end of a target that was leaving is no evidence against a
+// request.
+func (c *crashTracker) recordCrash(generation uint64, leaving bool) bool {
 	c.mu.Lock()
 	if generation != c.generation {
 		c.mu.Unlock()
@@ -164,12 +160,13 @@
 	interrupted := c.interruptedDigests()
 	c.generation++
 	c.broken = nil
-	counts := c.localCounts()
+	own, others := c.ownLedger(), c.others()
 	nowMS := time.Now().UnixMilli()
-	for digest, exclusive := range interrupted {
-		counts = counts.Crash(digest, exclusive, nowMS, c.limits)
+	for digest, alone := range interrupted {
+		cleared := suspect.ClearedUpTo(digest, own, others)
+		own = own.Crash(digest, alone && !leaving, nowMS, cleared, c.limits)
 	}
-	c.counts.Store(&counts)
+	c.ledger.Store(&own)
 	c.mu.Unlock()
 	if len(interrupted) == 0 {
 		return false
@@ -178,20 +175,23 @@
 	return true
 }
 
-// interruptedDigests returns the digests that were in flight when the current generation ended, and whether each
-// ran exclusively.
+// interruptedDigests returns the digests that were in flight when the current generation ended, and whether each ran alone:
+// exclusively, with no request sent after it.
 func (c *crashTracker) interruptedDigests() map[uint64]bool {
 	digests := make(map[uint64]bool)
+	add := func(f *inFlightRequest) {
+		digests[f.digest] = digests[f.digest] || (f.exclusive && f.sequence == c.sequence)
+	}
 	since := time.Now().Add(-crashWindow)
 	for _, f := range c.broken {
 		if f.brokenAt.After(since) {
-			digests[f.digest] = f.exclusive
+			add(f)
 		}
 	}
 	for f := range c.flights {
 		// Requests of an earlier generation were counted at the crash that ended it.
 		if f.generation == c.generation {
-			digests[f.digest] = f.exclusive
+			add(f)
 		}
 	}
 	return digests
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -142,7 +142,7 @@
 		pool:     pool,
 		target:   Target{Refuse: outcome.ReasonNoTarget},
 	}
-	e.crashes = newCrashTracker(s.Suspects, e.publishCrashes)
+	e.crashes = newCrashTracker(s.Suspects, e.currentRemoteIndex, e.publishCrashes)
 	return e, nil
 }
 
@@ -166,11 +166,17 @@
 	if previous.Start == t.Start || previous.Address == "" {
 		return
 	}
-	if e.crashes.targetRestarted() {
+	if e.crashes.targetRestarted(previous.Refuse == outcome.ReasonDraining) {
 		e.Counters.Crashes.Add(1)
 	}
 }
 
+// isLeaving reports whether a process of the target has announced that it leaves.
+func (e *Executor) isLeaving(start string) bool {
+	t := e.Target()
+	return t.Start == start && t.Refuse == outcome.ReasonDraining
+}
+
 // Target returns the current target.
 func (e *Executor) Target() Target {
 	e.mu.Lock()
@@ -377,11 +383,11 @@
 }
 
 // acquireSlot waits for a slot, an exclusive one if the request is suspect. The request is evaluated again once
-// the slot is granted, since an identical request may have crashed the target in the meantime.
+// the slot is granted: in the meantime, an identical request may have crashed a target or have run to its end.
 func (e *Executor) acquireSlot(
 	ctx context.Context, digest uint64, a admission.Arrival,
 ) (*admission.Slot, bool, outcome.Reason) {
-	standing := e.evaluateSuspect(digest)
+	standing := e.crashes.standing(digest)
 	for {
 		if standing == suspect.Blocked {
 			e.Counters.SuspectsBlocked.Add(1)
@@ -393,20 +399,14 @@
 		if reason != outcome.ReasonNone {
 			return nil, false, reason
 		}
-		standing = e.evaluateSuspect(digest)
-		if standing == suspect.Clear || (standing == suspect.Suspected && exclusive) {
+		standing = e.crashes.standing(digest)
+		if standing != suspect.Blocked && exclusive == (standing == suspect.Suspected) {
 			return slot, exclusive, outcome.ReasonNone
 		}
 		slot.Release(false)
 	}
 }
 
-func (e *Executor) evaluateSuspect(digest uint64) suspect.Standing {
-	now := time.Now().UnixMilli()
-	return suspect.Judge(digest, e.crashes.localCounts(), e.currentRemoteIndex(), now,
-		e.crashes.clearedUntil(digest), e.settings.Suspects)
-}
-
 // currentRemoteIndex returns the index for the current view.
 func (e *Executor) currentRemoteIndex() *suspect.Index {
 	v := e.deps.View()
@@ -437,7 +437,10 @@
 	return response
 }
 
-// publishCrashes stores the crash counts in the directory entry of the node.
+// publishCrashes stores the crash counts and clearances in the endpoint entry of the node.
 func (e *Executor) publishCrashes() {
-	e.deps.UpdateSelf(func(entry *endpoint.Entry) { entry.Crashes = e.crashes.localCounts() })
+	e.deps.UpdateSelf(func(entry *endpoint.Entry) {
+		ledger := e.crashes.ownLedger()
+		entry.Crashes, entry.Cleared = ledger.Crashes, ledger.Cleared
+	})
 }
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -39,7 +39,7 @@
 	}
 	err := e.client.DoMatched(ctx, target.Address, req, resp, remaining, matcher)
 	if err != nil {
-		return e.responseForError(err, f, target.Address)
+		return e.responseForError(err, f, target)
 	}
 	if kind == ResponseValid || kind == ResponseShed {
 		served := kind == ResponseValid && resp.StatusCode() < statusServerError
@@ -53,10 +53,10 @@
 		e.crashes.unregister(f)
 		return markArrived(refused(outcome.ReasonTargetReplaced))
 	case ResponseCorrupt:
-		e.crashes.complete(f, e.currentRemoteIndex().Latest(f.digest))
+		e.crashes.unregister(f)
 		return markArrived(unknown(outcome.ReasonAnswerCut))
 	}
-	e.crashes.complete(f, e.currentRemoteIndex().Latest(f.digest))
+	e.crashes.complete(f)
 	if resp.StatusCode() >= statusServerError && e.deps.OnTargetError != nil {
 		e.deps.OnTargetError()
 	}
@@ -81,23 +81,23 @@
 }
 
 // responseForError returns the response for a request that received no complete response.
-func (e *Executor) responseForError(err error, f *inFlightRequest, address string) *wire.Response {
+func (e *Executor) responseForError(err error, f *inFlightRequest, target Target) *wire.Response {
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
 		e.crashes.unregister(f)
 		return refused(notSentReason(err))
 	}
 	if errors.Is(err, httpclient.ErrTooLarge) {
-		e.crashes.complete(f, e.currentRemoteIndex().Latest(f.digest))
+		e.crashes.unregister(f)
 		return markArrived(unknown(outcome.ReasonAnswerDropped))
 	}
 	if reason := contextReason(err); reason != outcome.ReasonNone {
 		e.crashes.unregister(f)
 		return markArrived(unknown(reason))
 	}
-	result := e.crashes.connectionBroken(f, address)
+	result := e.crashes.connectionBroken(f, target.Address, e.isLeaving(target.Start))
 	if result.first {
-		e.reportCrash(address)
+		e.reportCrash(target.Address)
 	}
 	if result.crashed {
 		return markArrived(unknown(outcome.ReasonTargetCrashed))
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -16,6 +16,7 @@
 	"wagtailford.example/server/coordination/ownership"
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/coordination/routing"
+	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/platformlog"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/suspect"
@@ -131,7 +132,7 @@
 			SlowStart:      s.Routing.SlowStart,
 			ExclusiveWait:  exclusiveWait,
 		},
-		Suspects: suspect.Limits{CrashLimit: s.Suspects.CrashLimit, TTL: s.Suspects.SuspectTTL, Max: s.Suspects.SuspectsMax},
+		Suspects: suspectLimits(s.Suspects),
 		Client: httpclient.Limits{
 			DialTimeout:        dialTimeout,
 			ConnectionsPerHost: s.Target.ConnectionsMax,
@@ -225,3 +226,11 @@
 		wire.ServiceOwnership: d.keys.Receiver(),
 	})
 }
+
+// suspectTrialAfter is longer than most targets take to come back after a crash, so that the trial of a blocked request has a
+// target.
+const suspectTrialAfter = 5 * time.Second
+
+func suspectLimits(s settings.Suspects) suspect.Limits {
+	return suspect.Limits{CrashLimit: s.CrashLimit, TTL: s.SuspectTTL, Max: s.SuspectsMax, TrialAfter: suspectTrialAfter}
+}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -26,7 +26,6 @@
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/endpoint"
-	"wagtailford.example/server/state/suspect"
 	"wagtailford.example/server/transport/httpclient"
 	"wagtailford.example/server/transport/peer"
 )
@@ -169,7 +168,7 @@
 			ExclusiveQueue: s.Suspects.SuspectsMax,
 			ExclusiveWait:  exclusiveWait,
 		},
-		Suspects: suspect.Limits{CrashLimit: s.Suspects.CrashLimit, TTL: s.Suspects.SuspectTTL, Max: s.Suspects.SuspectsMax},
+		Suspects: suspectLimits(s.Suspects),
 		Client: httpclient.Limits{
 			DialTimeout:        dialTimeout,
 			ConnectionsPerHost: s.Target.ConnectionsMax,
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -131,7 +131,7 @@
 
 func suspectKeys(s *Suspects) []key {
 	return section("suspects",
-		integer("crash_limit", &s.CrashLimit, "3", 1, 100, "crashes after which a request is refused"),
+		integer("crash_limit", &s.CrashLimit, "2", 1, 100, "crashes after which a request is refused, counted while it runs alone"),
 		duration("suspect_ttl", &s.SuspectTTL, "10m", time.Second, 7*day, "how long crashes of a request are remembered"),
 		integer("suspects_max", &s.SuspectsMax, "16", 1, 256, "requests under suspicion that a node remembers"),
 	)
--- a/server/state/suspect/suspect.go
+++ b/server/state/suspect/suspect.go
@@ -1,11 +1,9 @@
-// Package suspect counts the target crashes that are attributed to a request, so that a request that crashes every
-// target that runs it is stopped. Everything here is pure: no clock, socket, random source or log line.
+// Package suspect attributes target crashes to requests, so that a request that crashes every target that runs it is
+// stopped. Everything here is pure: no clock, socket, random source or log line.
 package suspect
 
 import (
 	"iter"
-	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,12 +13,15 @@
 
 // Limits are the settings of the counts.
 type Limits struct {
-	// CrashLimit is the sum of counts over all nodes at which a digest is blocked.
+	// CrashLimit is the number of crashes while a digest ran alone, summed over all nodes, at which it is blocked.
 	CrashLimit int
 	// TTL is how long a count applies after its last crash.
 	TTL time.Duration
-	// Max is the number of counts that a node keeps.
+	// Max is the number of counts that a node keeps. It keeps up to twice as many clearances.
 	Max int
+	// TrialAfter is the time after the latest of these crashes from which the node that counted it runs a blocked digest
+	// once more.
+	TrialAfter time.Duration
 }
 
 // Standing says how a request is to be run.
@@ -36,7 +37,8 @@
 	Blocked
 )
 
-// Digest identifies a request by its content.
+// Digest identifies a request by its content. The caller is no part of it: a request that crashes targets may come again
+// from another one.
 func Digest(service, method, path string, body []byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -48,82 +50,15 @@
 	return d.Sum64()
 }
 
-// Counts are the counts of one node, at most one for each digest. They are immutable; every change returns new
-// counts.
-type Counts []endpoint.CrashCount
-
-// Crash attributes a crash to a digest. The first crash counts; a later one counts only if the request ran alone,
-// since otherwise another request may have caused it. When the counts are full, the smallest and then the oldest
-// other count gives way.
-func (c Counts) Crash(digest uint64, alone bool, nowMS int64, l Limits) Counts {
-	next := append(make(Counts, 0, len(c)+1), c.Expire(nowMS)...)
-	expires := nowMS + l.TTL.Milliseconds()
-	i := next.index(digest)
-	if i >= 0 {
-		if alone && next[i].Count < math.MaxUint8 {
-			next[i].Count++
-		}
-		next[i].ExpiresMS = expires
-		return next
-	}
-	if l.Max <= 0 {
-		return next
-	}
-	if len(next) >= l.Max {
-		next = next.dropLeast()
-	}
-	return append(next, endpoint.CrashCount{Digest: digest, Count: 1, ExpiresMS: expires})
-}
-
-// Complete removes the count of a request that ran to its end.
-func (c Counts) Complete(digest uint64) Counts {
-	i := c.index(digest)
-	if i < 0 {
-		return c
-	}
-	return slices.Delete(slices.Clone(c), i, i+1)
-}
-
-// Expire removes the counts that no longer apply. It returns c itself if there are none.
-func (c Counts) Expire(nowMS int64) Counts {
-	expired := func(e endpoint.CrashCount) bool { return e.ExpiresMS <= nowMS }
-	if !slices.ContainsFunc(c, expired) {
-		return c
-	}
-	return slices.DeleteFunc(slices.Clone(c), expired)
-}
-
-// Count returns the count of a digest.
-func (c Counts) Count(digest uint64, nowMS int64) int {
-	i := c.index(digest)
-	if i < 0 || c[i].ExpiresMS <= nowMS {
-		return 0
-	}
-	return int(c[i].Count)
-}
-
-func (c Counts) index(digest uint64) int {
-	return slices.IndexFunc(c, func(e endpoint.CrashCount) bool { return e.Digest == digest })
-}
-
-func (c Counts) dropLeast() Counts {
-	least := 0
-	for i, e := range c {
-		if e.Count < c[least].Count || (e.Count == c[least].Count && e.ExpiresMS < c[least].ExpiresMS) {
-			least = i
-		}
-	}
-	return slices.Delete(c, least, least+1)
-}
-
-// Index finds the counts of all other nodes by digest. It is immutable.
+// Index finds the counts and clearances of all other nodes by digest. It is immutable.
 type Index struct {
-	counts map[uint64][]endpoint.CrashCount
+	counts  map[uint64][]endpoint.CrashCount
+	cleared map[uint64]int64
 }
 
-// NewIndex collects the counts in the entries of all nodes but self.
+// NewIndex collects the counts and clearances in the entries of all nodes but self.
 func NewIndex(entries iter.Seq[*endpoint.Entry], self string) *Index {
-	x := &Index{counts: make(map[uint64][]endpoint.CrashCount)}
+	x := &Index{counts: make(map[uint64][]endpoint.CrashCount), cleared: make(map[uint64]int64)}
 	for e := range entries {
 		if e.Node == self {
 			continue
@@ -131,42 +66,77 @@
 		for _, c := range e.Crashes {
 			x.counts[c.Digest] = append(x.counts[c.Digest], c)
 		}
+		for _, c := range e.Cleared {
+			x.cleared[c.Digest] = max(x.cleared[c.Digest], c.UpToMS)
+		}
 	}
 	return x
 }
 
-// Sum returns the sum of the counts of a digest over all other nodes.
-func (x *Index) Sum(digest uint64, nowMS int64) int {
-	sum := 0
-	for _, c := range x.counts[digest] {
-		if c.ExpiresMS > nowMS {
-			sum += int(c.Count)
+// tally sums up the counts of one digest that apply.
+type tally struct {
+	// counted is true if there is a count. evidence is the number of crashes while the digest ran alone.
+	counted  bool
+	evidence int
+	// latestMS is the latest expiry of all counts, latestEvidenceMS that of the counts with evidence; 0 if there is none.
+	latestMS, latestEvidenceMS int64
+}
+
+// add takes in the counts of a digest that have not expired and expire later than the clearance.
+func (t *tally) add(counts []endpoint.CrashCount, digest uint64, nowMS, clearedMS int64) {
+	for _, c := range counts {
+		if c.Digest != digest || c.ExpiresMS <= max(nowMS, clearedMS) {
+			continue
+		}
+		t.counted = true
+		t.latestMS = max(t.latestMS, c.ExpiresMS)
+		if c.Count > 0 {
+			t.evidence += int(c.Count)
+			t.latestEvidenceMS = max(t.latestEvidenceMS, c.ExpiresMS)
 		}
 	}
-	return sum
 }
 
-// Latest returns the latest expiry, in Unix milliseconds, of the counts of a digest over all other nodes; 0 if there
-// are none.
-func (x *Index) Latest(digest uint64) int64 {
-	var latest int64
-	for _, c := range x.counts[digest] {
-		latest = max(latest, c.ExpiresMS)
+// tallies returns the tally of a digest over this node and all others, and that of this node alone.
+func tallies(digest uint64, own Ledger, others *Index, nowMS int64) (all, self tally) {
+	remote := others.counts[digest]
+	if len(own.Crashes) == 0 && len(remote) == 0 {
+		return tally{}, tally{}
 	}
-	return latest
+	clearedMS := ClearedUpTo(digest, own, others)
+	self.add(own.Crashes, digest, nowMS, clearedMS)
+	all = self
+	all.add(remote, digest, nowMS, clearedMS)
+	return all, self
 }
 
-// Judge returns the standing of a digest from the node's own counts and those of the other nodes. cleared is the value
-// of Latest when the digest last ran alone here to its end, or 0: the counts that it covers no longer make the digest a
-// suspect here, but still add up to the limit.
-func Judge(digest uint64, own Counts, others *Index, nowMS, cleared int64, l Limits) Standing {
-	count := own.Count(digest, nowMS)
+// Judge returns the standing of a digest from the node's own ledger and what the other nodes state. A crash while other
+// requests ran makes the digest a suspect only; crashes while it ran alone block it. The node that counted the latest of
+// these runs a digest that has just reached the limit once more: if several targets ended together for another reason, the
+// trial acquits it.
+func Judge(digest uint64, own Ledger, others *Index, nowMS int64, l Limits) Standing {
+	all, self := tallies(digest, own, others, nowMS)
 	switch {
-	case count+others.Sum(digest, nowMS) >= l.CrashLimit:
-		return Blocked
-	case count+others.Sum(digest, max(nowMS, cleared)) > 0:
+	case !all.counted:
+		return Clear
+	case all.evidence < l.CrashLimit:
+		return Suspected
+	case all.evidence == l.CrashLimit && self.evidence > 0 && self.latestEvidenceMS == all.latestEvidenceMS &&
+		nowMS >= self.latestEvidenceMS-l.TTL.Milliseconds()+l.TrialAfter.Milliseconds():
 		return Suspected
 	default:
-		return Clear
+		return Blocked
 	}
 }
+
+// ClearedUpTo returns the latest expiry of the counts of a digest that any node clears; 0 if none does.
+func ClearedUpTo(digest uint64, own Ledger, others *Index) int64 {
+	return max(own.clearedUpTo(digest), others.cleared[digest])
+}
+
+// Latest returns the latest expiry, in Unix milliseconds, of the counts of a digest over all nodes that apply; 0 if there are
+// none.
+func Latest(digest uint64, own Ledger, others *Index, nowMS int64) int64 {
+	all, _ := tallies(digest, own, others, nowMS)
+	return all.latestMS
+}
