Reject reports of another writer that name an unknown service

Cause: a report with a later start replaced the registration whatever service it named, and one of the known process could change its service and address.

Change: a new process may report the service of the settings, of the process before, or one that the configuration names; before the first configuration only that of the settings. The known process keeps service and address. A DELETE that states another start than the known process changes nothing.

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -43,15 +44,25 @@
 // ErrStartInFuture means that a report states a start that lies in the future.
 var ErrStartInFuture = errors.New("start in the future")
 
+// ErrUnknownService means that a report names a service that this node has no reason to expect.
+var ErrUnknownService = errors.New("unknown service")
+
+// ErrOtherTarget means that a report names the known process of the target with another service or address.
+var ErrOtherTarget = errors.New("service or address differ from those of the same process")
+
 // ErrIncomplete means that a report lacks a required field.
 var ErrIncomplete = errors.New("incomplete report")
 
+// ServiceLookup reports whether the configuration in force names a service. known is false while there is no configuration.
+type ServiceLookup func(service string) (named, known bool)
+
 // Registrar maintains the registration of the local target from the reports that the target sends.
 type Registrar struct {
 	settings   RegistrarSettings
 	runner     TargetRunner
 	updateSelf func(func(*endpoint.Entry))
 	ask        Asker
+	lookup     ServiceLookup
 	logger     log.Interface
 
 	mu      sync.Mutex
@@ -62,8 +73,12 @@
 }
 
 // NewRegistrar returns a registrar without a target.
-func NewRegistrar(s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), ask Asker, logger log.Interface) *Registrar {
-	return &Registrar{settings: s, service: s.Service, runner: runner, updateSelf: updateSelf, ask: ask, logger: logger}
+func NewRegistrar(
+	s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), ask Asker, lookup ServiceLookup, logger log.Interface,
+) *Registrar {
+	return &Registrar{
+		settings: s, service: s.Service, runner: runner, updateSelf: updateSelf, ask: ask, lookup: lookup, logger: logger,
+	}
 }
 
 // Run expires the registration of a target that sends no reports, until ctx ends.
@@ -82,23 +97,58 @@
 	}
 }
 
-// Take processes a report. When it returns, the TargetRunner has the new state, so the report may be acknowledged. The
-// error is ErrIncomplete if the report lacks a required field, or ErrStartInFuture; an outdated report is no error.
+// Take processes a report. When it returns, the TargetRunner has the new state, so the report may be acknowledged. A rejected
+// report changes nothing; the error is ErrIncomplete, ErrStartInFuture, ErrUnknownService or ErrOtherTarget. An outdated report
+// is no error.
 func (r *Registrar) Take(report Report) error {
+	now := time.Now()
+	if err := r.check(report, now); err != nil {
+		return err
+	}
+	r.change("report", func(current Registration) (Registration, Verdict) { return current.Take(report, now) })
+	if r.Current().Unverified {
+		go r.verify(report)
+	}
+	return nil
+}
+
+// check returns an error if a report cannot be that of the target beside the node.
+func (r *Registrar) check(report Report, now time.Time) error {
 	if report.Instance == "" || report.Service == "" || report.Address == "" || report.BornMS <= 0 {
 		return ErrIncomplete
 	}
-	now := time.Now()
 	if report.BornMS > now.Add(startAheadMax).UnixMilli() {
 		return ErrStartInFuture
 	}
-	r.change("report", func(current Registration) (Registration, Verdict) { return current.Take(report, now) })
-	if r.Current().Unverified {
-		go r.verify(report)
+	r.mu.Lock()
+	current, service := r.current.Report, r.service
+	r.mu.Unlock()
+	if report.Instance == current.Instance && report.BornMS == current.BornMS {
+		if report.Service != current.Service || report.Address != current.Address {
+			return ErrOtherTarget
+		}
+		return nil
+	}
+	if !r.expects(report.Service, current.Service, service) {
+		return fmt.Errorf("%w: %.64q", ErrUnknownService, report.Service)
 	}
 	return nil
 }
 
+// expects reports whether a process may report a service: that of the settings or of the process before, which the
+// configuration need not name yet or any more, or one that the configuration names. Without settings and configuration,
+// nothing is known about services.
+func (r *Registrar) expects(service, registered, configured string) bool {
+	if service == configured || service == registered {
+		return true
+	}
+	named, known := r.lookup(service)
+	if !known {
+		return configured == "" && registered == ""
+	}
+	return named
+}
+
 // verify queries a target of which this process has no earlier report.
 func (r *Registrar) verify(report Report) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
@@ -109,10 +159,16 @@
 	})
 }
 
-// Leave processes the notice that a target leaves. When it returns, no new request is sent to it.
-func (r *Registrar) Leave(instance string) {
+// Leave processes the notice that a target leaves. When it returns, no new request is sent to it. bornMS is the start of the
+// process that leaves, as in Report; 0 if the notice does not state it. A notice of an earlier process changes nothing.
+func (r *Registrar) Leave(instance string, bornMS int64) {
 	now := time.Now()
-	r.change("leave", func(current Registration) (Registration, Verdict) { return current.Leave(instance, now) })
+	r.change("leave", func(current Registration) (Registration, Verdict) {
+		if bornMS != 0 && bornMS != current.Report.BornMS {
+			return current, Late
+		}
+		return current.Leave(instance, now)
+	})
 }
 
 // LeaveStated processes the statement of a process of the target, in a response to a request, that it leaves. When it
--- a/server/coordination/announce/registrar_test.go
+++ b/server/coordination/announce/registrar_test.go
@@ -20,11 +20,16 @@
 
 func (l *lastTarget) SetTarget(t execute.Target) { l.Target = t }
 
+// namedServices is a ServiceLookup of a configuration with two services.
+func namedServices(service string) (named, known bool) {
+	return service == "orders" || service == "catalog", true
+}
+
 // registrarOf returns a registrar whose target has sent a report and is verified, and what it publishes.
 func registrarOf(t *testing.T, born int64) (*Registrar, *lastTarget) {
 	runner := &lastTarget{}
 	r := NewRegistrar(RegistrarSettings{Lease: time.Minute}, runner, func(change func(*endpoint.Entry)) { change(&endpoint.Entry{}) },
-		func(context.Context, Report) bool { return false }, &log.Logger{Handler: discard.New()})
+		func(context.Context, Report) bool { return false }, namedServices, &log.Logger{Handler: discard.New()})
 	for sequence := range uint64(renewalsMin + 1) {
 		assert.NilError(t, r.Take(Report{
 			Instance: "i-1", BornMS: born, Sequence: sequence + 1, Service: "orders", Address: "127.0.0.1:80", Slots: 18,
@@ -62,3 +67,69 @@
 	assert.NilError(t, r.Take(next))
 	assert.Equal(t, runner.Refuse, outcome.ReasonNone)
 }
+
+// Guards against a report of another writer that replaces the running target although nothing names its service, or that moves
+// the running process to another service or address; and against a target that is locked out because its service is not
+// named yet or any more.
+func TestReportOfUnknownServiceReplacesNoTarget(t *testing.T) {
+	born := time.Now().UnixMilli()
+	odd := func(change func(*Report)) Report {
+		r := Report{Instance: "i-1", BornMS: born, Sequence: 1 << 40, Service: "orders", Address: "127.0.0.1:80", Slots: 18}
+		change(&r)
+		return r
+	}
+	r, runner := registrarOf(t, born)
+	rejected := []struct {
+		report Report
+		want   error
+	}{
+		{odd(func(r *Report) { r.Instance, r.Service, r.BornMS = "i-2", "nosuch", born+1 }), ErrUnknownService},
+		{odd(func(r *Report) { r.Service, r.BornMS = "nosuch", born+1 }), ErrUnknownService},
+		{odd(func(r *Report) { r.Service = "nosuch" }), ErrOtherTarget},
+		{odd(func(r *Report) { r.Service = "catalog" }), ErrOtherTarget},
+		{odd(func(r *Report) { r.Address = "127.0.0.1:81" }), ErrOtherTarget},
+	}
+	for _, c := range rejected {
+		assert.Assert(t, errors.Is(r.Take(c.report), c.want), "%+v", c.report)
+		assert.Equal(t, r.Service(), "orders")
+		assert.Equal(t, runner.Instance, "i-1")
+		assert.Equal(t, runner.Refuse, outcome.ReasonNone)
+	}
+	assert.NilError(t, r.Take(odd(func(r *Report) { r.Sequence = 4 })))
+	assert.Equal(t, r.Current().Report.Sequence, uint64(4), "the running target still reports")
+
+	// Its service is removed from the configuration: the running process and the next one keep it.
+	r.lookup = func(string) (bool, bool) { return false, true }
+	assert.NilError(t, r.Take(odd(func(r *Report) { r.Sequence = 5 })))
+	assert.NilError(t, r.Take(odd(func(r *Report) { r.Instance, r.BornMS = "i-3", born+1 })))
+	assert.Equal(t, r.Service(), "orders")
+	// A named one takes over its VM.
+	r.lookup = namedServices
+	assert.NilError(t, r.Take(odd(func(r *Report) { r.Instance, r.BornMS, r.Service = "i-4", born+2, "catalog" })))
+	assert.Equal(t, r.Service(), "catalog")
+}
+
+// Guards against a target that reports before the first configuration and gets no requests, and against another writer's
+// report that is taken for it at that time.
+func TestReportBeforeTheFirstConfiguration(t *testing.T) {
+	runner := &lastTarget{}
+	none := func(string) (named, known bool) { return false, false }
+	r := NewRegistrar(RegistrarSettings{Lease: time.Minute, Service: "orders"}, runner,
+		func(change func(*endpoint.Entry)) { change(&endpoint.Entry{}) },
+		func(context.Context, Report) bool { return false }, none, &log.Logger{Handler: discard.New()})
+	report := Report{Instance: "i-1", BornMS: 1, Sequence: 1, Service: "nosuch", Address: "127.0.0.1:80"}
+	assert.Assert(t, errors.Is(r.Take(report), ErrUnknownService))
+	report.Service = "orders"
+	assert.NilError(t, r.Take(report))
+	assert.Equal(t, runner.Service, "orders")
+}
+
+// Guards against a late notice of an earlier process that takes the next one under the same name out of service.
+func TestLeaveOfAnEarlierProcess(t *testing.T) {
+	born := time.Now().UnixMilli()
+	r, runner := registrarOf(t, born)
+	r.Leave("i-1", born-1)
+	assert.Equal(t, runner.Refuse, outcome.ReasonNone)
+	r.Leave("i-1", born)
+	assert.Equal(t, runner.Refuse, outcome.ReasonDraining)
+}
--- a/server/coordination/announce/registration.go
+++ b/server/coordination/announce/registration.go
@@ -104,9 +104,10 @@
 	return r.State
 }
 
-// renew returns the registration after a report of the known process.
+// renew returns the registration after a report of the known process, which keeps its service and address.
 func (r Registration) renew(report Report, now time.Time) (Registration, Verdict) {
-	if report.Instance != r.Report.Instance || report.Sequence <= r.Report.Sequence {
+	if report.Instance != r.Report.Instance || report.Sequence <= r.Report.Sequence ||
+		report.Service != r.Report.Service || report.Address != r.Report.Address {
 		return r, Late
 	}
 	report.Draining = report.Draining || r.Leaving
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -25,7 +25,9 @@
 	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/view"
 	"wagtailford.example/server/transport/httpclient"
 	"wagtailford.example/server/transport/peer"
 )
@@ -192,7 +194,7 @@
 	}
 	h.registrar = announce.NewRegistrar(announce.RegistrarSettings{
 		Lease: s.Target.AnnounceLease, SlowStart: s.Routing.SlowStart, Service: s.Target.Service,
-	}, h.executor, h.control.UpdateSelf, h.checkReportedTarget, log.Log)
+	}, h.executor, h.control.UpdateSelf, h.checkReportedTarget, h.lookUpService, log.Log)
 	return nil
 }
 
@@ -217,15 +219,29 @@
 // healthPath returns the path for health checks of a service. known is false while there is no configuration.
 func (h *Hosted) healthPath(service string) (path string, known bool) {
 	v := h.control.View()
+	if s := serviceOf(v, service); s != nil {
+		path = s.HealthPath
+	}
+	return path, v.Version != 0
+}
+
+// lookUpService implements announce.ServiceLookup.
+func (h *Hosted) lookUpService(service string) (named, known bool) {
+	v := h.control.View()
+	return serviceOf(v, service) != nil, v.Version != 0
+}
+
+// serviceOf returns a service of the configuration in force; nil if it does not name it.
+func serviceOf(v *view.View, name string) *config.Service {
 	if v.Version == 0 {
-		return "", false
+		return nil
 	}
-	for _, s := range v.Content.Services {
-		if s.Name == service {
-			return s.HealthPath, true
+	for i := range v.Content.Services {
+		if v.Content.Services[i].Name == name {
+			return &v.Content.Services[i]
 		}
 	}
-	return "", true
+	return nil
 }
 
 func (h *Hosted) buildDispatch() error {
