Check everything once more right before a request is sent to the target

Cause: Executor.enter checks at the arrival; after the wait for a slot only two of the reasons were looked at again.

Change: checkSend decides on all conditions in the call that writes the first byte, after body, slot, key, free connection and connect: process, service, down, drain window, blocked digest. When a target begins to drain, waiting requests that are not expected to start within target.drain_window (1.5 s) are refused as not run at once, the rest at its end, and are placed elsewhere. A node that stops no longer replaces 'draining' by 'shutdown'. The time left is written after the connect.

Tests that failed before: TestWaitingRequestReachesDrainedTarget ('' != draining; '' != no_target, the request ran at a target of another service), TestDrainHoldsWhileTheNodeStops (shutdown != draining).

--- a/server/coordination/admission/admission.go
+++ b/server/coordination/admission/admission.go
@@ -111,6 +111,8 @@
 	blockedSince time.Time
 	// lastRefusal is the time at which a request that was not late was last refused because of its wait.
 	lastRefusal time.Time
+	// drainEnd is the time from which no waiting request starts; zero if the target does not drain.
+	drainEnd time.Time
 	// limiter enforces the rate of requests that the target has named.
 	limiter ratelimit.Limiter
 	times   serviceTimes
@@ -175,6 +177,9 @@
 	if !now.Before(a.Deadline) {
 		return Refused, outcome.ReasonDeadline
 	}
+	if s.hasDrained(now) {
+		return Refused, outcome.ReasonDraining
+	}
 	if a.Exclusive {
 		return s.admitExclusive(now, a.ID, a.Deadline)
 	}
@@ -330,6 +335,9 @@
 // returns false if there is none.
 func (s *State) WakeAt(now time.Time) (time.Time, bool) {
 	due, wake := s.ExclusiveDue()
+	if !s.drainEnd.IsZero() && s.Queued() > 0 && (!wake || s.drainEnd.Before(due)) {
+		due, wake = s.drainEnd, true
+	}
 	if !s.limiter.Limited() || s.Queued() == 0 || s.inUse >= s.Slots(now) {
 		return due, wake
 	}
@@ -352,6 +360,7 @@
 // settle refuses the requests that have expired and grants slots until no further request can start.
 func (s *State) settle(now time.Time) []Action {
 	s.actions = s.actions[:0]
+	s.refuseDrained(now)
 	for _, q := range s.normal.kinds {
 		q.waiting = s.refuseExpired(now, q.waiting)
 		s.refuseLateStarts(now, q)
--- a/server/coordination/admission/controller.go
+++ b/server/coordination/admission/controller.go
@@ -43,6 +43,14 @@
 	c.apply(c.state.SetLimit(time.Now(), known))
 }
 
+// SetDrainEnd sets the time from which no waiting request starts, because the target drains; zero lifts it. Requests that are
+// not expected to start before are refused at once.
+func (c *Controller) SetDrainEnd(end time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.apply(c.state.SetDrainEnd(time.Now(), end))
+}
+
 // ServiceTime returns the moving average of the time for which requests held a slot.
 func (c *Controller) ServiceTime() time.Duration {
 	c.mu.Lock()
--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -253,15 +253,13 @@
 	}
 	state := c.Usable()
 	switch {
-	case r.stopping:
-		target.Refuse = outcome.ReasonShutdown
-		if state == endpoint.Alive {
-			state = endpoint.Draining
-		}
 	case state == endpoint.Draining:
 		target.Refuse = outcome.ReasonDraining
 	case state == endpoint.NoTarget:
 		target.Refuse = outcome.ReasonNoTarget
+	case r.stopping:
+		target.Refuse = outcome.ReasonShutdown
+		state = endpoint.Draining
 	}
 	r.runner.SetTarget(target)
 	r.updateSelf(func(e *endpoint.Entry) {
--- a/server/coordination/announce/registrar_test.go
+++ b/server/coordination/announce/registrar_test.go
@@ -133,3 +133,13 @@
 	r.Leave("i-1", born)
 	assert.Equal(t, runner.Refuse, outcome.ReasonDraining)
 }
+
+// Guards against a node that shuts down and forgets that its target drains, so that waiting requests reach it without limit.
+func TestDrainHoldsWhileTheNodeStops(t *testing.T) {
+	born := time.Now().UnixMilli()
+	r, runner := registrarOf(t, born)
+	r.Stop()
+	assert.Equal(t, runner.Refuse, outcome.ReasonShutdown)
+	r.Leave("i-1", born)
+	assert.Equal(t, runner.Refuse, outcome.ReasonDraining)
+}
--- a/server/coordination/execute/execute_test.go
+++ b/server/coordination/execute/execute_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/rpc"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -292,6 +293,74 @@
 	assert.Equal(t, n.Counters.Crashes.Load(), int64(1))
 }
 
+// Guards against a request that waits for a slot while its target begins to drain, and reaches it long after the drain was
+// acknowledged; and against one that the target would still have served in time and is refused.
+func TestWaitingRequestReachesDrainedTarget(t *testing.T) {
+	const window = 20 * time.Millisecond
+	cases := []struct {
+		name   string
+		window time.Duration
+		change func(*Target)
+		want   outcome.Reason
+	}{
+		{"drain window passed", window, func(target *Target) { target.Refuse = outcome.ReasonDraining }, outcome.ReasonDraining},
+		{"within the drain window", time.Hour, func(target *Target) { target.Refuse = outcome.ReasonDraining }, outcome.ReasonNone},
+		{"another process", window, func(target *Target) { target.Start = "second" }, outcome.ReasonNone},
+		{"another service", window, func(target *Target) { target.Start, target.Service = "second", "atelier" }, outcome.ReasonNoTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target, held, _ := blockingTarget(t)
+			n := newNode(t, target.address, func(s *Settings, _ *Dependencies) {
+				s.Admission.Slots = 1
+				s.DrainWindow = c.window
+			})
+			ctx, release := context.WithCancel(t.Context())
+			go n.Execute(ctx, request("/hold"))
+			<-held
+			waiting := make(chan *wire.Response)
+			go func() {
+				r := request("/")
+				r.ID = 2
+				waiting <- n.Execute(t.Context(), r)
+			}()
+			for n.Gate.Queued.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			changed := n.Target()
+			c.change(&changed)
+			n.SetTarget(changed)
+			time.Sleep(2 * window)
+			release()
+			answer := <-waiting
+			assert.Equal(t, answer.Reason, c.want)
+			assert.Equal(t, target.ran("/") == 0, c.want != outcome.ReasonNone)
+		})
+	}
+}
+
+// Guards against a request that holds a slot, waits for its key or a connection meanwhile, and is sent to a target that has
+// drained or was replaced.
+func TestSendIsCheckedRightBeforeTheBytes(t *testing.T) {
+	target := newTarget(t, func(*http.Request, *bufio.Reader) string { return okAnswer })
+	for _, c := range []struct {
+		change func(*Target)
+		want   outcome.Reason
+	}{
+		{func(target *Target) { target.Refuse = outcome.ReasonDraining }, outcome.ReasonDraining},
+		{func(target *Target) { target.Refuse = outcome.ReasonNoTarget }, outcome.ReasonNoTarget},
+		{func(target *Target) { target.Start = "second" }, outcome.ReasonTargetReplaced},
+		{func(target *Target) { target.Service = "atelier" }, outcome.ReasonNoTarget},
+	} {
+		n := newNode(t, target.address, nil)
+		chosen := n.Target()
+		changed := chosen
+		c.change(&changed)
+		n.SetTarget(changed)
+		assert.Equal(t, n.checkSend(request("/"), chosen, 0), c.want)
+	}
+}
+
 // Guards against new requests to a target that started to drain while the body of the request was being fetched.
 func TestLeavingTargetGetsNoFetchedBody(t *testing.T) {
 	target := newTarget(t, func(*http.Request, *bufio.Reader) string { return okAnswer })
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -30,6 +30,8 @@
 	Workers   int
 	Admission admission.Settings
 	Suspects  suspect.Limits
+	// DrainWindow is how long a target that has begun to drain still gets the requests that wait for it.
+	DrainWindow time.Duration
 	// Client limits the connections to the target. Its IdleTimeout must be lower than the idle timeout of the
 	// target.
 	Client httpclient.Limits
@@ -110,7 +112,9 @@
 
 	mu     sync.Mutex
 	target Target
-	active int
+	// drainEnd is the end of the drain window; zero while the target does not drain.
+	drainEnd time.Time
+	active   int
 	// idle is closed when no request is in progress; nil if there is no waiter.
 	idle chan struct{}
 }
@@ -158,7 +162,11 @@
 	e.mu.Lock()
 	previous := e.target
 	e.target = t
+	drainEnd, drainChanged := e.updateDrainEnd(previous)
 	e.mu.Unlock()
+	if drainChanged {
+		e.Gate.SetDrainEnd(drainEnd)
+	}
 	e.resetCondition(t.Start)
 	if previous.Slots != t.Slots || !previous.Started.Equal(t.Started) {
 		e.Gate.SetTarget(t.Slots, t.Started)
@@ -171,6 +179,20 @@
 	}
 }
 
+// updateDrainEnd starts the drain window when a process of the target begins to drain, and ends it with the drain.
+func (e *Executor) updateDrainEnd(previous Target) (end time.Time, changed bool) {
+	draining := e.target.Refuse == outcome.ReasonDraining
+	if draining && previous.Refuse == outcome.ReasonDraining && previous.Start == e.target.Start {
+		return e.drainEnd, false
+	}
+	before := e.drainEnd
+	e.drainEnd = time.Time{}
+	if draining {
+		e.drainEnd = time.Now().Add(e.settings.DrainWindow)
+	}
+	return e.drainEnd, !e.drainEnd.Equal(before)
+}
+
 // isLeaving reports whether a process of the target has announced that it leaves.
 func (e *Executor) isLeaving(start string) bool {
 	t := e.Target()
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -10,34 +10,47 @@
 
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/suspect"
 	"wagtailford.example/server/transport/httpclient"
 )
 
 // statusServerError is the lowest HTTP status of a server error.
 const statusServerError = 500
 
+// refusal is the reason why a request must not be sent to the target.
+type refusal struct{ reason outcome.Reason }
+
+// Error returns the reason.
+func (r refusal) Error() string { return string(r.reason) }
+
 // run sends the request to the target and returns its result.
 func (e *Executor) run(ctx context.Context, r *wire.Request, digest uint64, exclusive bool) *wire.Response {
 	target := e.Target()
-	if target.Refuse == outcome.ReasonTargetDown || target.Refuse == outcome.ReasonNoTarget {
-		return refused(target.Refuse)
+	if reason := e.checkSend(r, target, digest); reason != outcome.ReasonNone {
+		return refused(reason)
 	}
 	req := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(req)
 	resp := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(resp)
 	deadline, _ := ctx.Deadline()
-	remaining := time.Until(deadline)
 	codec := e.settings.Codec
-	codec.Write(req, r, target, remaining)
 	f := e.crashes.register(digest, exclusive)
 	kind := ResponseValid
-	sent := time.Now()
+	var sent time.Time
+	prepare := func() error {
+		if reason := e.checkSend(r, target, digest); reason != outcome.ReasonNone {
+			return refusal{reason}
+		}
+		sent = time.Now()
+		codec.Write(req, r, target, time.Until(deadline))
+		return nil
+	}
 	matcher := func(resp *protocol.Response) httpclient.Match {
 		kind = codec.Read(r, resp)
 		return matchOf(kind)
 	}
-	err := e.client.DoMatched(ctx, target.Address, req, resp, remaining, matcher)
+	err := e.client.DoPrepared(ctx, target.Address, req, resp, time.Until(deadline), prepare, matcher)
 	if err != nil {
 		return e.responseForError(err, f, target)
 	}
@@ -63,6 +76,30 @@
 	return markArrived(answered(resp))
 }
 
+// checkSend returns the reason why a request must not be sent to a target that was chosen earlier. It is decided right before
+// the bytes are written: since its arrival, the request has waited for its body, a slot, its key or a connection. A target
+// that drains still gets requests that arrived before, until the drain window has passed.
+func (e *Executor) checkSend(r *wire.Request, chosen Target, digest uint64) outcome.Reason {
+	e.mu.Lock()
+	current, drainEnd := e.target, e.drainEnd
+	e.mu.Unlock()
+	switch {
+	case current.Refuse == outcome.ReasonTargetDown || current.Refuse == outcome.ReasonNoTarget:
+		return current.Refuse
+	case current.Start != chosen.Start || current.Address != chosen.Address:
+		return outcome.ReasonTargetReplaced
+	case current.Service != r.Service:
+		return outcome.ReasonNoTarget
+	case current.Refuse == outcome.ReasonDraining && !time.Now().Before(drainEnd):
+		return outcome.ReasonDraining
+	case e.crashes.standing(digest) == suspect.Blocked:
+		e.Counters.SuspectsBlocked.Add(1)
+		return outcome.ReasonSuspect
+	default:
+		return outcome.ReasonNone
+	}
+}
+
 func matchOf(kind ResponseKind) httpclient.Match {
 	switch kind {
 	case ResponseMismatched:
@@ -118,7 +155,10 @@
 
 // notSentReason returns the reason why a request was not sent.
 func notSentReason(err error) outcome.Reason {
+	var refused refusal
 	switch {
+	case errors.As(err, &refused):
+		return refused.reason
 	case errors.Is(err, context.Canceled):
 		return outcome.ReasonCanceled
 	case errors.Is(err, context.DeadlineExceeded):
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -132,7 +132,8 @@
 			SlowStart:      s.Routing.SlowStart,
 			ExclusiveWait:  exclusiveWait,
 		},
-		Suspects: suspectLimits(s.Suspects),
+		Suspects:    suspectLimits(s.Suspects),
+		DrainWindow: s.Target.DrainWindow,
 		Client: httpclient.Limits{
 			DialTimeout:        dialTimeout,
 			ConnectionsPerHost: s.Target.ConnectionsMax,
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -170,7 +170,8 @@
 			ExclusiveQueue: s.Suspects.SuspectsMax,
 			ExclusiveWait:  exclusiveWait,
 		},
-		Suspects: suspectLimits(s.Suspects),
+		Suspects:    suspectLimits(s.Suspects),
+		DrainWindow: s.Target.DrainWindow,
 		Client: httpclient.Limits{
 			DialTimeout:        dialTimeout,
 			ConnectionsPerHost: s.Target.ConnectionsMax,
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -152,6 +152,7 @@
 func targetKeys(t *Target) []key {
 	return section("target",
 		duration("announce_lease", &t.AnnounceLease, "5s", 100*time.Millisecond, 10*time.Minute, "time after which an announcement lapses without renewal"),
+		duration("drain_window", &t.DrainWindow, "1500ms", 0, 10*time.Minute, "how long a draining target still gets requests that wait for it"),
 		integer("connections_max", &t.ConnectionsMax, "32", 1, 10000, "connections to the target"),
 		duration("health_interval", &t.HealthInterval, "2s", 100*time.Millisecond, 10*time.Minute, "interval of health checks"),
 		text("service", &t.Service, "service of the target before its first report"),
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -170,7 +170,9 @@
 
 // Target holds the settings of the target beside the node.
 type Target struct {
-	AnnounceLease  time.Duration
+	AnnounceLease time.Duration
+	// DrainWindow is how long a draining target still gets requests that wait for it.
+	DrainWindow    time.Duration
 	ConnectionsMax int
 	HealthInterval time.Duration
 	// Service is the service of the target before its first report.
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -154,6 +154,14 @@
 // is never taken for the answer to a later request.
 func (c *Client) DoMatched(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
 	timeout time.Duration, matcher Matcher,
+) error {
+	return c.DoPrepared(ctx, address, req, resp, timeout, func() error { return nil }, matcher)
+}
+
+// DoPrepared is DoMatched that calls prepare once there is a connection, right before the first byte is written, with no wait in
+// between. prepare may fill in the request; its error ends the call, wrapped in a *NotSentError.
+func (c *Client) DoPrepared(ctx context.Context, address string, req *protocol.Request, resp *protocol.Response,
+	timeout time.Duration, prepare func() error, matcher Matcher,
 ) error {
 	ctx, progress, cancel := c.bound(ctx, timeout)
 	defer cancel()
@@ -161,6 +169,10 @@
 	if err != nil {
 		return &NotSentError{Cause: preferContext(ctx, err)}
 	}
+	if err := prepare(); err != nil {
+		c.pool.put(cn, false)
+		return &NotSentError{Cause: err}
+	}
 	cn.reader.progress = progress
 	stop := context.AfterFunc(ctx, cn.abort)
 	reusable, err := c.exchange(cn, req, resp, matcher)
--- a/server/transport/httpclient/httpclient_test.go
+++ b/server/transport/httpclient/httpclient_test.go
@@ -307,3 +307,21 @@
 		})
 	}
 }
+
+// Guards against bytes of a request that leave although the last check before them says that they must not.
+func TestNothingIsSentAfterTheLastCheck(t *testing.T) {
+	got := make(chan int, 1)
+	address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		data, _ := io.ReadAll(r)
+		got <- len(data)
+	})
+	c := newClient(t)
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	req.Header.SetHost(address)
+	drained := errors.New("drained")
+	err := c.DoPrepared(t.Context(), address, req, resp, testTimeout, func() error { return drained },
+		func(*protocol.Response) Match { return Matched })
+	var notSent *NotSentError
+	assert.Assert(t, errors.As(err, &notSent) && errors.Is(err, drained), "%v", err)
+	assert.Equal(t, <-got, 0)
+}
