Keep crash counts over restarts of the nodes that counted

Cause: the counts were in memory and in the endpoint entry of the node; the entry of the next process, without counts, replaces that entry everywhere.

Change: counts and clearances belong to the process that counted. Two values of an entry join to the union of theirs, whichever is newer, and the owner takes over what it is sent back. Counts are taken once however many entries state them. On a platform each node writes its own counts that apply to the store, and a new process reads all of them before its configuration, so that it knows them before its first request and after a restart of all nodes.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -75,6 +75,7 @@
 // needed.
 func (l *Loop) mergeEntry(e endpoint.Entry, origin string, now time.Time) {
 	if e.Node == l.node {
+		l.inheritCrashes(e, now)
 		l.refuteOwnEntry(e, now)
 		return
 	}
@@ -92,6 +93,14 @@
 	l.entriesChanged()
 }
 
+// inheritCrashes takes over the crash counts and clearances that an earlier process of this node stated.
+func (l *Loop) inheritCrashes(seen endpoint.Entry, now time.Time) {
+	next := l.self
+	if next.InheritCrashes(&seen, now) {
+		l.updateOwnEntry(func(e *endpoint.Entry) { e.Crashes, e.Cleared = next.Crashes, next.Cleared }, now)
+	}
+}
+
 // refuteOwnEntry refutes a value of the own entry that another node sent, if it is newer or declares this node dead.
 func (l *Loop) refuteOwnEntry(seen endpoint.Entry, now time.Time) {
 	answer := membership.Refute(&l.self, &seen)
--- /dev/null
+++ b/server/coordination/crashrecords/crashrecords.go
@@ -0,0 +1,139 @@
+// Package crashrecords keeps the crash counts of a node in a store outside the mesh, so that they outlive a restart of all
+// nodes at once.
+package crashrecords
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+// Record holds the crash counts of a node that apply, of all its processes.
+type Record struct {
+	Node    string                `json:"node"`
+	Crashes []endpoint.CrashCount `json:"crashes"`
+}
+
+// Store keeps one record per node.
+type Store interface {
+	// Publish replaces the record of a node; a record without counts removes it.
+	Publish(ctx context.Context, r Record) error
+	List(ctx context.Context) ([]Record, error)
+}
+
+const (
+	// callTimeout limits one call to the store. A slow store answers within some tenths of a second.
+	callTimeout = time.Second
+	// restoreTimeout limits Restore. A node whose store does not answer gets the counts from other nodes, together with its
+	// configuration.
+	restoreTimeout = time.Second
+	// retryInterval is the time after a failed call.
+	retryInterval = 100 * time.Millisecond
+	// reviewInterval is the time between two comparisons while counts apply: they expire, and other nodes clear them.
+	reviewInterval = time.Second
+)
+
+// Keeper writes the counts of one node to the store whenever they have changed.
+type Keeper struct {
+	node    string
+	store   Store
+	current func() []endpoint.CrashCount
+	logger  log.Interface
+	changed chan struct{}
+	written []endpoint.CrashCount
+}
+
+// NewKeeper returns a keeper for a node. current returns the counts of the node that apply, sorted.
+func NewKeeper(node string, store Store, current func() []endpoint.CrashCount, logger log.Interface) *Keeper {
+	return &Keeper{node: node, store: store, current: current, logger: logger, changed: make(chan struct{}, 1)}
+}
+
+// Changed tells the keeper that the counts have changed. It does not block.
+func (k *Keeper) Changed() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Restore reads the records of all nodes. It returns none if the store does not answer in time. It must be called before Run.
+func (k *Keeper) Restore(ctx context.Context) []Record {
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
+	defer cancel()
+	for {
+		records, err := k.list(ctx)
+		if err == nil {
+			k.noteWritten(records)
+			return records
+		}
+		select {
+		case <-ctx.Done():
+			k.logger.WithError(err).WithField("event", "crash_counts_not_restored").Warn("crash counts not restored from the store")
+			return nil
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+func (k *Keeper) list(ctx context.Context) ([]Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.store.List(ctx)
+}
+
+// noteWritten takes over what the store holds for this node.
+func (k *Keeper) noteWritten(records []Record) {
+	for _, r := range records {
+		if r.Node == k.node {
+			k.written = r.Crashes
+		}
+	}
+}
+
+// Run writes the counts until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for {
+		counts := k.current()
+		wait := time.Duration(0)
+		if len(counts) > 0 {
+			wait = reviewInterval
+		}
+		if !slices.Equal(counts, k.written) {
+			if k.write(ctx, counts) {
+				k.written = counts
+			} else {
+				wait = retryInterval
+			}
+		}
+		if !k.pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (k *Keeper) write(ctx context.Context, counts []endpoint.CrashCount) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return k.store.Publish(ctx, Record{Node: k.node, Crashes: counts}) == nil
+}
+
+// pause waits for a change, or for at most wait if it is not 0, and returns false once ctx has ended.
+func (k *Keeper) pause(ctx context.Context, wait time.Duration) bool {
+	var due <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-k.changed:
+	case <-due:
+	}
+	return true
+}
--- /dev/null
+++ b/server/coordination/crashrecords/crashrecords_test.go
@@ -0,0 +1,105 @@
+package crashrecords
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/state/endpoint"
+)
+
+// memoryStore is a Store that can be down.
+type memoryStore struct {
+	mu      sync.Mutex
+	down    bool
+	records map[string]Record
+	calls   int
+}
+
+var errDown = errors.New("down")
+
+func (s *memoryStore) Publish(_ context.Context, r Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return errDown
+	}
+	s.records[r.Node] = r
+	return nil
+}
+
+func (s *memoryStore) List(context.Context) ([]Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, errDown
+	}
+	var list []Record
+	for _, r := range s.records {
+		list = append(list, r)
+	}
+	return list, nil
+}
+
+// state returns the counts in the record of a node and the number of calls.
+func (s *memoryStore) state(node string) ([]endpoint.CrashCount, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[node].Crashes, s.calls
+}
+
+// Guards against counts that the store misses because it was down when they changed, against one call to the store for each
+// review, and against a node that does not start while the store is down.
+func TestCountsReachTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{records: make(map[string]Record)}
+		var mu sync.Mutex
+		var counts []endpoint.CrashCount
+		set := func(c ...endpoint.CrashCount) {
+			mu.Lock()
+			defer mu.Unlock()
+			counts = c
+		}
+		k := NewKeeper("a", store, func() []endpoint.CrashCount {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(counts)
+		}, &log.Logger{Handler: discard.New()})
+		store.down = true
+		began := time.Now()
+		assert.Equal(t, len(k.Restore(t.Context())), 0)
+		assert.Equal(t, time.Since(began), restoreTimeout)
+
+		go k.Run(t.Context())
+		count := endpoint.CrashCount{Digest: 1, Process: 2, Count: 1, ExpiresMS: 3}
+		set(count)
+		k.Changed()
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		store.down = false
+		store.mu.Unlock()
+		time.Sleep(time.Second)
+		written, calls := store.state("a")
+		assert.DeepEqual(t, written, []endpoint.CrashCount{count})
+		time.Sleep(time.Minute)
+		_, later := store.state("a")
+		assert.Equal(t, later, calls)
+
+		// Another node clears it: the next review sees that.
+		set()
+		time.Sleep(2 * reviewInterval)
+		written, later = store.state("a")
+		assert.Equal(t, len(written), 0)
+		assert.Equal(t, later, calls+1)
+	})
+}
--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -66,7 +66,7 @@
 
 func newCrashTracker(l suspect.Limits, others func() *suspect.Index, changed func()) *crashTracker {
 	c := &crashTracker{limits: l, others: others, changed: changed, flights: make(map[*inFlightRequest]struct{})}
-	c.ledger.Store(&suspect.Ledger{})
+	c.ledger.Store(&suspect.Ledger{Process: time.Now().UnixNano()})
 	return c
 }
 
--- a/server/coordination/execute/crashes_test.go
+++ b/server/coordination/execute/crashes_test.go
@@ -2,20 +2,24 @@
 
 import (
 	"bufio"
-	"maps"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/endpoint"
+	"wagtailford.example/server/state/suspect"
 	"wagtailford.example/server/state/view"
 )
 
-// testMesh is a number of nodes, each with a target of its own, that know each other's entries.
+// testMesh is a number of nodes, each with a target of its own, that share a table of their entries.
 type testMesh struct {
+	mu      sync.Mutex
+	table   *endpoint.Table
 	nodes   []*testNode
 	targets []*testTarget
 	// held receives the path of each request with the field X-Hold, which is held until its connection ends.
@@ -23,34 +27,57 @@
 }
 
 func newMesh(t *testing.T, size int) *testMesh {
-	m := &testMesh{held: make(chan string, 16)}
-	for range size {
-		target := newTarget(t, func(req *http.Request, r *bufio.Reader) string {
-			if req.Header.Get("X-Hold") == "" {
+	m := &testMesh{table: endpoint.NewTable(time.Hour), held: make(chan string, 16)}
+	for i := range size {
+		var target *testTarget
+		target = newTarget(t, func(req *http.Request, r *bufio.Reader) string {
+			switch {
+			case req.URL.Path == "/crash":
+				target.crash()
+				return ""
+			case req.Header.Get("X-Hold") == "":
 				return okAnswer
 			}
 			m.held <- req.URL.Path
 			r.ReadByte()
 			return ""
 		})
-		n := newNode(t, target.address, func(_ *Settings, d *Dependencies) { d.View = m.view })
-		m.nodes = append(m.nodes, n)
 		m.targets = append(m.targets, target)
+		m.nodes = append(m.nodes, nil)
+		m.start(t, i, 1)
 	}
 	return m
 }
 
+// start starts the process of a node, which knows nothing of an earlier one.
+func (m *testMesh) start(t *testing.T, i int, incarnation int64) {
+	name := string(rune('a' + i))
+	entry := endpoint.Entry{Node: name, Key: endpoint.Key{Incarnation: incarnation, Revision: 1}}
+	m.mu.Lock()
+	m.table.Merge(entry, "", time.Now())
+	m.mu.Unlock()
+	m.nodes[i] = newNode(t, m.targets[i].address, func(s *Settings, d *Dependencies) {
+		s.Node = name
+		d.View = m.view
+		d.UpdateSelf = func(change func(*endpoint.Entry)) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			change(&entry)
+			entry.Revision++
+			m.table.Merge(entry, "", time.Now())
+		}
+	})
+}
+
 // view returns a view with the current entry of every node.
 func (m *testMesh) view() *view.View {
-	entries := make(map[string]*endpoint.Entry)
-	for i, n := range m.nodes {
-		n.mu.Lock()
-		e := n.entry
-		n.mu.Unlock()
-		e.Node = string(rune('a' + i))
-		entries[e.Node] = &e
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := &view.View{Ready: true, Nodes: make(map[string]*endpoint.Entry)}
+	for _, e := range m.table.All() {
+		v.Nodes[e.Node] = e
 	}
-	return &view.View{Ready: true, Nodes: maps.Clone(entries)}
+	return v
 }
 
 // Guards against a request that every caller sends and that is refused everywhere once a few targets have ended together
@@ -90,3 +117,50 @@
 		assert.Equal(t, <-answers, outcome.Answered)
 	}
 }
+
+// Guards against nodes that forget with their restart which requests crash targets, so that such a request runs again after
+// a roll of the mesh, and against a trial for each process.
+func TestRestartsForgetRequestsThatCrashTargets(t *testing.T) {
+	const size = 4
+	m := newMesh(t, size)
+	crashes, refusals := 0, 0
+	send := func(i int) {
+		switch answer := m.nodes[i].Execute(t.Context(), request("/crash")); answer.Outcome {
+		case outcome.Unknown:
+			crashes++
+			m.targets[i].start()
+		case outcome.RefusedNotRun:
+			assert.Equal(t, answer.Reason, outcome.ReasonSuspect)
+			refusals++
+		}
+	}
+	for i := range size {
+		send(i)
+	}
+	assert.Equal(t, crashes, 3)
+	for round := range 2 {
+		for restarted := range size {
+			m.start(t, restarted, int64(round+2))
+			for i := range size {
+				send(i)
+			}
+		}
+	}
+	assert.Equal(t, crashes, 3)
+	assert.Equal(t, refusals, 1+2*size*size)
+}
+
+// Guards against a restart of all nodes at once after which the counts are known to the store only, and are not used.
+func TestRestoredCrashCounts(t *testing.T) {
+	m := newMesh(t, 2)
+	far := time.Now().Add(time.Hour).UnixMilli()
+	own := []endpoint.CrashCount{{Digest: suspect.Digest(testService, "POST", "/crash", []byte("b")), Process: 1, Count: 1, ExpiresMS: far}}
+	others := []endpoint.CrashCount{own[0]}
+	others[0].Process, others[0].ExpiresMS = 2, far+1
+	m.nodes[0].RestoreCrashes(own, others)
+	assert.Equal(t, m.nodes[0].Execute(t.Context(), request("/crash")).Reason, outcome.ReasonSuspect)
+	assert.DeepEqual(t, m.nodes[0].CrashCounts(), own)
+	// Other nodes learn the counts of this node.
+	assert.DeepEqual(t, m.view().Nodes["a"].Crashes, own)
+	assert.Equal(t, m.targets[0].ran("/crash"), 0)
+}
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,8 @@
 	Bodies *transfer.Fetcher
 	// OnCrash is called after a crash of the target was detected; it may be nil.
 	OnCrash func()
+	// OnCrashCounts is called after the crash counts or clearances of this node have changed; it may be nil.
+	OnCrashCounts func()
 	// OnTargetError is called after the target responded with an error; it may be nil.
 	OnTargetError func()
 	// OnLeaving is called when a process of the target, named by Target.Start, first says in a response that it leaves. It
@@ -107,8 +110,10 @@
 	pool        *ants.Pool
 	crashes     *crashTracker
 	remoteIndex atomic.Pointer[remoteCrashIndex]
-	attempts    attempts
-	condition   condition
+	// restored holds the crash counts of other nodes that were known to a store at the start.
+	restored  atomic.Pointer[endpoint.Entry]
+	attempts  attempts
+	condition condition
 
 	mu     sync.Mutex
 	target Target
@@ -119,7 +124,7 @@
 	idle chan struct{}
 }
 
-// remoteCrashIndex indexes the crash counts of the other nodes in one view.
+// remoteCrashIndex indexes the crash counts of all other processes in one view.
 type remoteCrashIndex struct {
 	view  *view.View
 	index *suspect.Index
@@ -146,6 +151,7 @@
 		pool:     pool,
 		target:   Target{Refuse: outcome.ReasonNoTarget},
 	}
+	e.restored.Store(&endpoint.Entry{})
 	e.crashes = newCrashTracker(s.Suspects, e.currentRemoteIndex, e.publishCrashes)
 	return e, nil
 }
@@ -434,7 +440,9 @@
 	v := e.deps.View()
 	cached := e.remoteIndex.Load()
 	if cached == nil || cached.view != v {
-		cached = &remoteCrashIndex{view: v, index: suspect.NewIndex(maps.Values(v.Nodes), e.settings.Node)}
+		entries := append(slices.Collect(maps.Values(v.Nodes)), e.restored.Load())
+		index := suspect.NewIndex(slices.Values(entries), e.settings.Node, e.crashes.ownLedger().Process)
+		cached = &remoteCrashIndex{view: v, index: index}
 		e.remoteIndex.Store(cached)
 	}
 	return cached.index
@@ -459,10 +467,26 @@
 	return response
 }
 
+// RestoreCrashes takes over crash counts that were stored before this process started: those of earlier processes of this
+// node, and those of other nodes, which other nodes may have forgotten. It must be called before the first request.
+func (e *Executor) RestoreCrashes(own, others []endpoint.CrashCount) {
+	e.restored.Store(&endpoint.Entry{Crashes: others})
+	e.remoteIndex.Store(nil)
+	e.deps.UpdateSelf(func(entry *endpoint.Entry) { entry.InheritCrashes(&endpoint.Entry{Crashes: own}, time.Now()) })
+}
+
+// CrashCounts returns the crash counts of this node, of all its processes, that apply, sorted.
+func (e *Executor) CrashCounts() []endpoint.CrashCount {
+	return suspect.Uncleared(e.crashes.ownLedger(), e.currentRemoteIndex(), time.Now().UnixMilli())
+}
+
 // publishCrashes stores the crash counts and clearances in the endpoint entry of the node.
 func (e *Executor) publishCrashes() {
 	e.deps.UpdateSelf(func(entry *endpoint.Entry) {
 		ledger := e.crashes.ownLedger()
-		entry.Crashes, entry.Cleared = ledger.Crashes, ledger.Cleared
+		entry.InheritCrashes(&endpoint.Entry{Crashes: ledger.Crashes, Cleared: ledger.Cleared}, time.Now())
 	})
+	if e.deps.OnCrashCounts != nil {
+		e.deps.OnCrashCounts()
+	}
 }
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -16,6 +16,7 @@
 	"wagtailford.example/server/coordination/admission"
 	"wagtailford.example/server/coordination/announce"
 	"wagtailford.example/server/coordination/control"
+	"wagtailford.example/server/coordination/crashrecords"
 	"wagtailford.example/server/coordination/dispatch"
 	"wagtailford.example/server/coordination/execute"
 	"wagtailford.example/server/coordination/fanout"
@@ -37,6 +38,8 @@
 	// Source is where operators publish configurations, Directory where nodes find each other.
 	Source() follow.Source
 	Directory() seeds.Directory
+	// CrashRecords is where the crash counts of the nodes outlive a restart of all nodes.
+	CrashRecords() crashrecords.Store
 	// Dialect encodes requests to targets and decodes their responses.
 	Dialect() execute.Codec
 	// ServeCallers, ServeTargets and ServeReady register the interfaces of the node on servers that do not run yet.
@@ -88,6 +91,7 @@
 	follower     *follow.SourceFollower
 	sourceReader *sourceReader
 	executor     *execute.Executor
+	crashRecords *crashrecords.Keeper
 	registrar    *announce.Registrar
 	dispatch     *dispatch.Handler
 	listeners    *listeners
@@ -188,11 +192,13 @@
 		// No request runs before the handler is built.
 		OnTargetError: func() { h.dispatch.TargetFailed() },
 		OnLeaving:     func(start, request string) { h.registrar.LeaveStated(start, request) },
+		OnCrashCounts: func() { h.crashRecords.Changed() },
 		Log:           log.Log,
 	})
 	if err != nil {
 		return err
 	}
+	h.crashRecords = crashrecords.NewKeeper(s.Node.Name, h.platform.CrashRecords(), h.executor.CrashCounts, log.Log)
 	h.registrar = announce.NewRegistrar(announce.RegistrarSettings{
 		Lease: s.Target.AnnounceLease, SlowStart: s.Routing.SlowStart, Service: s.Target.Service,
 	}, h.executor, h.control.UpdateSelf, h.checkReportedTarget, h.lookUpService, log.Log)
@@ -294,7 +300,11 @@
 	publishMetrics(h)
 	h.work.Go(func() { h.control.Run(background) })
 	h.work.Go(func() { h.syncer.Run(background) })
-	h.work.Go(func() { h.sourceReader.run(background, h.follower.Run) })
+	h.work.Go(func() {
+		// A node that has a configuration takes requests, so it learns first which of them crash targets.
+		h.restoreCrashes(background)
+		h.sourceReader.run(background, h.follower.Run)
+	})
 	h.work.Go(func() { h.registrar.Run(background) })
 	h.work.Go(func() { h.discover(background) })
 	h.work.Go(func() { paceCollector(background, h.settings.Node.MemoryLimit) })
@@ -312,6 +322,20 @@
 	return errors.Join(err, h.stop(stop))
 }
 
+// restoreCrashes takes over the crash counts that the store holds, and keeps those of this node there from then on.
+func (h *Hosted) restoreCrashes(ctx context.Context) {
+	var own, others []endpoint.CrashCount
+	for _, r := range h.crashRecords.Restore(ctx) {
+		if r.Node == h.settings.Node.Name {
+			own = append(own, r.Crashes...)
+		} else {
+			others = append(others, r.Crashes...)
+		}
+	}
+	h.executor.RestoreCrashes(own, others)
+	h.work.Go(func() { h.crashRecords.Run(ctx) })
+}
+
 // stop keeps serving callers and the target for the leave delay, finishes the requests in flight, and then closes all
 // connections. The target may outlive the process, so its slots are used until the callers have left.
 func (h *Hosted) stop(stopBackground func()) error {
--- a/server/state/endpoint/table.go
+++ b/server/state/endpoint/table.go
@@ -21,12 +21,13 @@
 // Join returns the value that follows from two values of one entry: the one with the larger key. A death verdict
 // also holds against later revisions until the owner has answered it: others have acted on the death, so the owner
 // must learn of it and join its service again before it owns keys. Of two times of death the later one is kept, since
-// it lets fewer keys pass to other nodes.
+// it lets fewer keys pass to other nodes. Crash counts and clearances are those of both values.
 func Join(a, b Entry) Entry {
 	high, low := a, b
 	if a.Key.Compare(b.Key) < 0 {
 		high, low = b, a
 	}
+	high.joinCrashes(&low)
 	if high.Incarnation != low.Incarnation || low.State != Dead || high.State == Left || low.Revision < high.Rejoined {
 		return high
 	}
@@ -63,12 +64,15 @@
 func (t *Table) Merge(e Entry, origin string, now time.Time) bool {
 	old := t.rows[e.Node]
 	if old != nil {
-		delivered := e.Key
-		e = Join(*old.entry, e)
-		if e.Key == old.entry.Key && e.DiedMS == old.entry.DiedMS {
+		delivered, before := e, *old.entry
+		e = Join(before, e)
+		for _, value := range []*Entry{&e, &delivered, &before} {
+			value.expireCrashes(now)
+		}
+		if e.Key == before.Key && e.DiedMS == before.DiedMS && e.sameCrashes(&before) {
 			return false
 		}
-		if e.Key != delivered {
+		if e.Key != delivered.Key || !e.sameCrashes(&delivered) {
 			// The result is news to the node that delivered e, too.
 			origin = ""
 		}
--- a/server/state/endpoint/table_test.go
+++ b/server/state/endpoint/table_test.go
@@ -33,6 +33,9 @@
 		if e.Revision == 3 {
 			e.Rejoined = 3
 		}
+		expires := start.UnixMilli() + int64(e.Revision)
+		e.Crashes = []CrashCount{{Digest: e.Revision % 2, Process: e.Incarnation, Count: uint8(e.Revision), ExpiresMS: expires}}
+		e.Cleared = []Clearance{{Digest: e.Revision % 2, UpToMS: expires + e.Incarnation}}
 		if e.State == Dead {
 			e.DiedMS = start.UnixMilli() + rapid.Int64Range(0, 3).Draw(t, "died")
 		}
@@ -122,3 +125,49 @@
 	assert.Assert(t, !table.Merge(dead, "peer", end))
 	assert.Assert(t, table.Merge(Entry{Node: "a", Key: Key{2, 1, Alive}}, "peer", end))
 }
+
+// Guards against a restart of a node after which the mesh has forgotten which requests crash targets, and against peers that
+// send each other the same counts without end.
+func TestCrashCountsOutliveTheProcess(t *testing.T) {
+	count := func(process int64) CrashCount {
+		return CrashCount{Digest: 1, Process: process, Count: 1, ExpiresMS: start.UnixMilli() + 10}
+	}
+	old := Entry{Node: "a", Key: Key{1, 4, Alive}, Crashes: []CrashCount{count(1)}}
+	restarted := Entry{Node: "a", Key: Key{2, 1, NoTarget}}
+	table := tableOf([]Entry{old})
+	assert.Assert(t, table.Merge(restarted, "a", start))
+	assert.DeepEqual(t, table.Get("a").Crashes, old.Crashes)
+	delta := table.Select(1, table.Sequence(), 9, func(origin string) bool { return origin != "a" })
+	assert.Equal(t, len(delta.Entries), 1, "the new process learns what the old one has counted")
+	assert.Assert(t, !table.Merge(restarted, "a", start))
+	assert.Assert(t, !table.Merge(delta.Entries[0], "b", start))
+	assert.Assert(t, !table.Merge(old, "b", start))
+
+	owner := restarted
+	assert.Assert(t, owner.InheritCrashes(&delta.Entries[0], start))
+	owner.Revision, owner.Crashes = 2, JoinCrashes(owner.Crashes, []CrashCount{count(2)})
+	assert.Assert(t, table.Merge(owner, "a", start))
+	assert.Equal(t, len(table.Get("a").Crashes), 2)
+	assert.Assert(t, !owner.InheritCrashes(table.Get("a"), start))
+
+	later := owner
+	later.Revision = 3
+	assert.Assert(t, table.Merge(later, "a", start.Add(10*time.Millisecond)))
+	assert.Equal(t, len(table.Get("a").Crashes), 0, "counts that have expired are dropped")
+}
+
+// Guards against entries that grow with each restart, and against a bound that depends on the order of joins.
+func TestInheritedCrashCountsBound(t *testing.T) {
+	var all, backwards []CrashCount
+	var cleared []Clearance
+	for i := range 2 * clearancesMax {
+		all = JoinCrashes(all, []CrashCount{{Digest: uint64(i), ExpiresMS: int64(i)}})
+		last := 2*clearancesMax - 1 - i
+		backwards = JoinCrashes([]CrashCount{{Digest: uint64(last), ExpiresMS: int64(last)}}, backwards)
+		cleared = JoinCleared(cleared, []Clearance{{Digest: uint64(i), UpToMS: int64(i)}})
+	}
+	assert.Equal(t, len(all), crashCountsMax)
+	assert.DeepEqual(t, all, backwards)
+	assert.Equal(t, len(cleared), clearancesMax)
+	assert.Equal(t, cleared[0].UpToMS, int64(2*clearancesMax-1))
+}
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -27,23 +27,6 @@
 // NoLimit is the value of Entry.LimitPerSecond for a target without a limit.
 const NoLimit = 0.0
 
-// CrashCount holds the target crashes that a node attributes to a request digest.
-type CrashCount struct {
-	Digest uint64
-	// Count is the number of crashes while the request ran alone. It is 0 if the request only ran beside others, any of
-	// which may have caused the crash.
-	Count uint8
-	// ExpiresMS is the time until which the count applies, Unix milliseconds.
-	ExpiresMS int64
-}
-
-// Clearance states that a target ran a request to its end, so that earlier crashes have another cause.
-type Clearance struct {
-	Digest uint64
-	// UpToMS is the latest CrashCount.ExpiresMS that is cleared. The clearance applies until then.
-	UpToMS int64
-}
-
 // Key orders the values of one entry. The larger key wins, compared field by field.
 type Key struct {
 	// Incarnation is the process start time in Unix nanoseconds, or one more than the
@@ -90,8 +73,8 @@
 	// Withdrawn is true if the node has published that its target accepts no new requests: the target drains, has left or
 	// does not report. It is kept when other nodes declare the node dead, while their verdict replaces the state.
 	Withdrawn bool
-	// Crashes are the crash counts that the node attributes to request digests, Cleared the clearances that it states. A
-	// clearance applies to the counts of all nodes.
+	// Crashes are the crash counts that the processes of the node attribute to request digests, Cleared the clearances that
+	// they state. A clearance applies to the counts of all nodes. Both outlive the process.
 	Crashes []CrashCount
 	Cleared []Clearance
 }
--- a/server/state/suspect/ledger.go
+++ b/server/state/suspect/ledger.go
@@ -8,9 +8,11 @@
 	"wagtailford.example/server/state/endpoint"
 )
 
-// Ledger holds the counts and clearances that one node states, at most one of each for a digest. It is immutable; every
+// Ledger holds the counts and clearances that one process states, at most one of each for a digest. It is immutable; every
 // change returns a new one.
 type Ledger struct {
+	// Process identifies the process, as in endpoint.CrashCount.
+	Process int64
 	Crashes []endpoint.CrashCount
 	Cleared []endpoint.Clearance
 }
@@ -23,7 +25,7 @@
 		return next
 	}
 	next.Crashes = slices.Clone(next.Crashes)
-	count := endpoint.CrashCount{Digest: digest, ExpiresMS: nowMS + l.TTL.Milliseconds()}
+	count := endpoint.CrashCount{Digest: digest, Process: b.Process, ExpiresMS: nowMS + l.TTL.Milliseconds()}
 	i := slices.IndexFunc(next.Crashes, func(c endpoint.CrashCount) bool { return c.Digest == digest })
 	if i >= 0 {
 		before := next.Crashes[i]
@@ -54,6 +56,7 @@
 // Expire removes the counts and clearances that no longer apply.
 func (b Ledger) Expire(nowMS int64) Ledger {
 	return Ledger{
+		Process: b.Process,
 		Crashes: without(b.Crashes, func(c endpoint.CrashCount) bool { return c.ExpiresMS <= nowMS }),
 		Cleared: without(b.Cleared, func(c endpoint.Clearance) bool { return c.UpToMS <= nowMS }),
 	}
--- a/server/state/suspect/suspect.go
+++ b/server/state/suspect/suspect.go
@@ -4,6 +4,7 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,29 +51,60 @@
 	return d.Sum64()
 }
 
-// Index finds the counts and clearances of all other nodes by digest. It is immutable.
+// Index finds the counts and clearances of all processes but this one by digest. It is immutable.
 type Index struct {
-	counts  map[uint64][]endpoint.CrashCount
-	cleared map[uint64]int64
+	// counts are those of other nodes, inherited those of earlier processes of this node.
+	counts, inherited map[uint64][]endpoint.CrashCount
+	cleared           map[uint64]int64
 }
 
-// NewIndex collects the counts and clearances in the entries of all nodes but self.
-func NewIndex(entries iter.Seq[*endpoint.Entry], self string) *Index {
-	x := &Index{counts: make(map[uint64][]endpoint.CrashCount), cleared: make(map[uint64]int64)}
+// NewIndex collects the counts and clearances in entries. self and process identify this process. A count that several entries
+// state is taken once.
+func NewIndex(entries iter.Seq[*endpoint.Entry], self string, process int64) *Index {
+	x := &Index{
+		counts: make(map[uint64][]endpoint.CrashCount), inherited: make(map[uint64][]endpoint.CrashCount),
+		cleared: make(map[uint64]int64),
+	}
+	var own, remote []endpoint.CrashCount
 	for e := range entries {
 		if e.Node == self {
-			continue
-		}
-		for _, c := range e.Crashes {
-			x.counts[c.Digest] = append(x.counts[c.Digest], c)
+			own = e.Crashes
+		} else {
+			remote = append(remote, e.Crashes...)
 		}
 		for _, c := range e.Cleared {
 			x.cleared[c.Digest] = max(x.cleared[c.Digest], c.UpToMS)
 		}
 	}
+	add(x.inherited, own, func(c endpoint.CrashCount) bool { return c.Process == process })
+	add(x.counts, remote, func(c endpoint.CrashCount) bool {
+		return c.Process == process || containsProcess(x.inherited[c.Digest], c.Process)
+	})
 	return x
 }
 
+// add puts counts under their digests, the latest one of each process, except those to be skipped. Counts without a process are
+// from older builds, and each is that of another node.
+func add(to map[uint64][]endpoint.CrashCount, counts []endpoint.CrashCount, skip func(endpoint.CrashCount) bool) {
+	for _, c := range counts {
+		if skip(c) {
+			continue
+		}
+		list := to[c.Digest]
+		i := slices.IndexFunc(list, func(other endpoint.CrashCount) bool { return other.Process == c.Process && c.Process != 0 })
+		switch {
+		case i < 0:
+			to[c.Digest] = append(list, c)
+		case c.ExpiresMS > list[i].ExpiresMS:
+			list[i] = c
+		}
+	}
+}
+
+func containsProcess(counts []endpoint.CrashCount, process int64) bool {
+	return slices.ContainsFunc(counts, func(c endpoint.CrashCount) bool { return c.Process == process && process != 0 })
+}
+
 // tally sums up the counts of one digest that apply.
 type tally struct {
 	// counted is true if there is a count. evidence is the number of crashes while the digest ran alone.
@@ -97,14 +129,15 @@
 	}
 }
 
-// tallies returns the tally of a digest over this node and all others, and that of this node alone.
+// tallies returns the tally of a digest over this node and all others, and that of this node and its earlier processes.
 func tallies(digest uint64, own Ledger, others *Index, nowMS int64) (all, self tally) {
-	remote := others.counts[digest]
-	if len(own.Crashes) == 0 && len(remote) == 0 {
+	remote, inherited := others.counts[digest], others.inherited[digest]
+	if len(own.Crashes) == 0 && len(remote) == 0 && len(inherited) == 0 {
 		return tally{}, tally{}
 	}
 	clearedMS := ClearedUpTo(digest, own, others)
 	self.add(own.Crashes, digest, nowMS, clearedMS)
+	self.add(inherited, digest, nowMS, clearedMS)
 	all = self
 	all.add(remote, digest, nowMS, clearedMS)
 	return all, self
@@ -134,6 +167,23 @@
 	return max(own.clearedUpTo(digest), others.cleared[digest])
 }
 
+// Uncleared returns the counts of this node, of all its processes, that apply, sorted.
+func Uncleared(own Ledger, others *Index, nowMS int64) []endpoint.CrashCount {
+	var list []endpoint.CrashCount
+	keep := func(counts []endpoint.CrashCount) {
+		for _, c := range counts {
+			if c.ExpiresMS > max(nowMS, ClearedUpTo(c.Digest, own, others)) {
+				list = append(list, c)
+			}
+		}
+	}
+	keep(own.Crashes)
+	for _, counts := range others.inherited {
+		keep(counts)
+	}
+	return endpoint.JoinCrashes(list, nil)
+}
+
 // Latest returns the latest expiry, in Unix milliseconds, of the counts of a digest over all nodes that apply; 0 if there are
 // none.
 func Latest(digest uint64, own Ledger, others *Index, nowMS int64) int64 {
--- a/server/state/suspect/suspect_test.go
+++ b/server/state/suspect/suspect_test.go
@@ -12,13 +12,17 @@
 
 var testLimits = Limits{CrashLimit: 3, TTL: time.Minute, Max: 3, TrialAfter: 10 * time.Millisecond}
 
-const testTTL = 60_000
+const (
+	testTTL = 60_000
+	// testProcess is this process. Counts without a process are from older builds.
+	testProcess = 7
+)
 
 // Guards against evidence from crashes that another request may have caused, and against counts that never end.
 func TestCrashCounts(t *testing.T) {
 	var b Ledger
 	count := func(nowMS int64) (bool, int) {
-		all, _ := tallies(1, b, NewIndex(slices.Values([]*endpoint.Entry{}), "self"), nowMS)
+		all, _ := tallies(1, b, NewIndex(slices.Values([]*endpoint.Entry{}), "self", 0), nowMS)
 		return all.counted, all.evidence
 	}
 	b = b.Crash(1, false, 0, 0, testLimits).Crash(1, false, 1, 0, testLimits)
@@ -61,13 +65,13 @@
 	}
 	const early, late = testTTL, testTTL + 50
 	entries := []*endpoint.Entry{
-		{Node: "self", Crashes: []endpoint.CrashCount{count(1, 9, late)}},
+		{Node: "self", Crashes: []endpoint.CrashCount{{Digest: 1, Process: testProcess, Count: 9, ExpiresMS: late}}},
 		{Node: "b", Crashes: []endpoint.CrashCount{count(1, 1, early), count(2, 0, early), count(3, 0, early), count(4, 3, early)}},
 		{Node: "c", Crashes: []endpoint.CrashCount{count(1, 1, early), count(3, 0, late)}},
 		{Node: "d", Crashes: []endpoint.CrashCount{count(3, 0, early)}, Cleared: []endpoint.Clearance{{Digest: 4, UpToMS: early}}},
 	}
-	others := NewIndex(slices.Values(entries), "self")
-	own := Ledger{Crashes: []endpoint.CrashCount{count(1, 1, late), count(5, 4, late)}}
+	others := NewIndex(slices.Values(entries), "self", testProcess)
+	own := Ledger{Process: testProcess, Crashes: []endpoint.CrashCount{count(1, 1, late), count(5, 4, late)}}
 	cleared := own.Clear(1, late, 0, testLimits)
 	cases := []struct {
 		digest uint64
@@ -93,7 +97,23 @@
 	for _, c := range cases {
 		assert.Equal(t, Judge(c.digest, c.own, others, c.nowMS, testLimits), c.want, "%+v", c)
 	}
-	remote := NewIndex(slices.Values(append(entries, &endpoint.Entry{Node: "e", Crashes: []endpoint.CrashCount{count(1, 1, late+1)}})), "self")
+	remote := NewIndex(slices.Values(append(entries, &endpoint.Entry{Node: "e", Crashes: []endpoint.CrashCount{count(1, 1, late+1)}})), "self", testProcess)
 	assert.Equal(t, Judge(1, Ledger{}, remote, 10_000, testLimits), Blocked, "the trial is that of the node with the latest crash")
 	assert.Assert(t, Digest("s", "GET", "/a", nil) != Digest("s", "GET", "/", []byte("a")))
 }
+
+// Guards against counts that a node forgets with its process, or that are added up once for each entry that states them.
+func TestCountsOfEarlierProcesses(t *testing.T) {
+	count := func(process int64, n uint8) endpoint.CrashCount {
+		return endpoint.CrashCount{Digest: 1, Process: process, Count: n, ExpiresMS: testTTL}
+	}
+	entries := []*endpoint.Entry{
+		{Node: "self", Crashes: []endpoint.CrashCount{count(10, 1), count(11, 1)}},
+		{Node: "b", Crashes: []endpoint.CrashCount{count(20, 1)}},
+	}
+	entries = append(entries, &endpoint.Entry{Crashes: []endpoint.CrashCount{count(10, 1), count(20, 1), count(30, 1)}})
+	own := Ledger{Process: 11, Crashes: []endpoint.CrashCount{count(11, 1)}}
+	all, self := tallies(1, own, NewIndex(slices.Values(entries), "self", 11), 0)
+	assert.Equal(t, all.evidence, 4, "the processes 10, 11, 20 and 30")
+	assert.Equal(t, self.evidence, 2)
+}
