Bound the memory for bodies of the target over all connections

Report of another operator: bytes without end from a target, memory exhausted. Here each response was bounded and its connection closed at the limit, but not all together: 64 connections took 134 MB for an announced length of 1 MiB and 202 MB for an announced chunk.

Cause: the codec takes memory for what a framing announces, rounded up to a power of two, and the buffer of the connection took the same once more; the number of connections follows what the target states.

--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -139,6 +139,8 @@
 			ConnectionsPerHost: s.Target.ConnectionsMax,
 			IdleTimeout:        targetIdleTimeout,
 			BodyMaxBytes:       int(s.Limits.BodyMax),
+			HeaderMaxBytes:     int(s.Limits.HeaderMax),
+			LargeBytesMax:      s.Node.MemoryLimit / largeBodiesShare,
 		},
 	}, execute.Dependencies{
 		View:       d.control.View,
@@ -228,6 +230,9 @@
 	})
 }
 
+// largeBodiesShare is the part of the memory limit for large bodies of the target that are read at the same time: one half.
+const largeBodiesShare = 2
+
 // suspectTrialAfter is longer than most targets take to come back after a crash, so that the trial of a blocked request has a
 // target.
 const suspectTrialAfter = 5 * time.Second
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -181,6 +181,8 @@
 			ConnectionsPerHost: s.Target.ConnectionsMax,
 			IdleTimeout:        hostedTargetIdleTimeout,
 			BodyMaxBytes:       int(s.Limits.BodyMax),
+			HeaderMaxBytes:     int(s.Limits.HeaderMax),
+			LargeBytesMax:      s.Node.MemoryLimit / largeBodiesShare,
 			UnframedBodies:     true,
 			KeepAlive:          targetKeepAlive,
 		},
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -12,11 +12,11 @@
 	"io"
 	"time"
 
-	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	reqI "github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	respI "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"golang.org/x/sync/semaphore"
 )
 
 // Limits bound a client in size, number and time.
@@ -31,6 +31,9 @@
 	// HeaderMaxBytes and BodyMaxBytes limit a response; 0 means the defaults.
 	HeaderMaxBytes int
 	BodyMaxBytes   int
+	// LargeBytesMax limits the memory of bodies beyond smallBodyBytes that are read at the same time; further ones wait. One is
+	// read however low the limit is; 0 means no limit.
+	LargeBytesMax int64
 	// UnframedBodies accepts a body without length that ends with an orderly end of the connection. A reset is never
 	// taken for its end.
 	UnframedBodies bool
@@ -52,6 +55,14 @@
 	defaultBodyMaxBytes       = 64 << 20
 )
 
+const (
+	// smallBodyBytes is the size up to which a body is read without regard to Limits.LargeBytesMax.
+	smallBodyBytes = 64 << 10
+	// bodyCopies bounds the memory of a body relative to BodyMaxBytes: the buffer that it grows in, which is up to twice as
+	// large, the smaller one that it is copied from, and the copy that the caller takes.
+	bodyCopies = 4
+)
+
 // bodyUntilClose is the content length that hertz reports for a body that ends with the connection.
 const bodyUntilClose = -2
 
@@ -93,6 +104,8 @@
 type Client struct {
 	limits Limits
 	pool   *pool
+	// large has one unit for each body beyond smallBodyBytes that may be read at the same time; nil without a limit.
+	large *semaphore.Weighted
 }
 
 // New returns a client with the given limits.
@@ -109,7 +122,11 @@
 	if limits.BodyMaxBytes == 0 {
 		limits.BodyMaxBytes = defaultBodyMaxBytes
 	}
-	return &Client{limits: limits, pool: newPool(limits)}, nil
+	c := &Client{limits: limits, pool: newPool(limits)}
+	if limits.LargeBytesMax > 0 {
+		c.large = semaphore.NewWeighted(max(1, limits.LargeBytesMax/(bodyCopies*int64(limits.BodyMaxBytes))))
+	}
+	return c, nil
 }
 
 // Do sends the request once to the host of its URI, like DoAddress.
@@ -174,6 +191,8 @@
 		return &NotSentError{Cause: err}
 	}
 	cn.reader.progress = progress
+	release := c.limitLarge(ctx, cn.reader)
+	defer release()
 	stop := context.AfterFunc(ctx, cn.abort)
 	reusable, err := c.exchange(cn, req, resp, matcher)
 	if !stop() {
@@ -191,6 +210,27 @@
 	return &LostError{Cause: preferContext(ctx, err)}
 }
 
+// limitLarge makes a reader wait for its turn before it reads a body beyond smallBodyBytes. release ends the turn.
+func (c *Client) limitLarge(ctx context.Context, r *reader) (release func()) {
+	if c.large == nil {
+		return func() {}
+	}
+	held := false
+	r.large = func() error {
+		if held {
+			return nil
+		}
+		err := c.large.Acquire(ctx, 1)
+		held = err == nil
+		return err
+	}
+	return func() {
+		if held {
+			c.large.Release(1)
+		}
+	}
+}
+
 // bound limits a call. progress is called for bytes that arrived; it is nil if they do not change the limit.
 func (c *Client) bound(ctx context.Context, timeout time.Duration) (bounded context.Context, progress, cancel func()) {
 	if c.limits.Stall <= 0 {
@@ -254,33 +294,11 @@
 	if err := readHeaders(resp, cn.reader); err != nil {
 		return false, err
 	}
-	if !resp.MustSkipBody() && resp.Header.ContentLength() == bodyUntilClose {
-		return false, c.readUnframed(resp, cn.reader)
+	if resp.MustSkipBody() {
+		return true, nil
 	}
-	return true, c.readBody(resp, cn.reader)
-}
-
-// readUnframed reads a body that ends with the connection. A response without Connection: close does not announce
-// such an end, but nothing else can end it.
-func (c *Client) readUnframed(resp *protocol.Response, r *reader) error {
-	if !c.limits.UnframedBodies {
-		return ErrCut
-	}
-	r.max = c.limits.BodyMaxBytes
-	for n := readBufferBytes; ; n = r.Len() + readBufferBytes {
-		if _, err := r.Peek(n); err != nil {
-			break
-		}
-	}
-	if !errors.Is(r.err, io.EOF) {
-		return cut(r, r.err)
-	}
-	body, err := r.ReadBinary(r.Len())
-	if err != nil {
-		return cut(r, err)
-	}
-	resp.SetBodyRaw(body)
-	return nil
+	unframed := resp.Header.ContentLength() == bodyUntilClose
+	return !unframed, c.readBody(resp, cn.reader)
 }
 
 // informationalMax limits the informational responses before a final one. A server in trouble sends them without end.
@@ -303,24 +321,10 @@
 	return fmt.Errorf("more than %d informational responses: %w", informationalMax, ErrCut)
 }
 
-func (c *Client) readBody(resp *protocol.Response, r *reader) error {
-	// A body is held in the buffer as a whole before it is copied, with the framing of a chunk.
-	const chunkFraming = 64
-	r.max = c.limits.BodyMaxBytes + chunkFraming
-	if err := respI.ReadRespBody(resp, r, c.limits.BodyMaxBytes); err != nil {
-		return cut(r, err)
-	}
-	if r.err != nil {
-		// The codec ignores the end of the connection in a trailer.
-		return cut(r, r.err)
-	}
-	return nil
-}
-
 // cut maps an error of the codec to ErrTooLarge, ErrCut, or the error of the connection.
 func cut(r *reader, err error) error {
 	switch {
-	case errors.Is(err, hertzerrors.ErrBodyTooLarge), errors.Is(r.err, ErrTooLarge):
+	case errors.Is(err, ErrTooLarge), errors.Is(r.err, ErrTooLarge):
 		return ErrTooLarge
 	case r.err != nil && !errors.Is(r.err, io.EOF):
 		return fmt.Errorf("%w: %w", ErrCut, r.err)
--- a/server/transport/httpclient/reader.go
+++ b/server/transport/httpclient/reader.go
@@ -18,6 +18,8 @@
 	// max limits the bytes that are buffered at a time.
 	max int
 	err error
+	// large is called before a body grows beyond smallBodyBytes, and may wait; nil without a limit.
+	large func() error
 	// progress is called when bytes arrived; it may be nil.
 	progress func()
 }
@@ -59,7 +61,7 @@
 func (r *reader) grow(n int) {
 	buf := r.buf
 	if n > len(buf) {
-		buf = make([]byte, max(n, 2*len(buf)))
+		buf = make([]byte, max(n, min(2*len(buf), r.max)))
 	}
 	r.to = copy(buf, r.buf[r.from:r.to])
 	r.from = 0
