Keep acknowledged leaves of targets that have lapsed or are not known

Cause: Registration.Leave changed nothing for a registration that had lapsed and for a process that the node did not know; the node answered 200 all the same.

Change: the leave is kept in the lapsed registration, or by name for a process that is not registered, and binds reports of processes that started before it arrived.

Tests: TestRegistrationOrder 'leave after a lapse' and 'leave of a process that is not known yet' failed before (late != renewed; alive != draining).

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -164,7 +164,7 @@
 func (r *Registrar) Leave(instance string, bornMS int64) {
 	now := time.Now()
 	r.change("leave", func(current Registration) (Registration, Verdict) {
-		if bornMS != 0 && bornMS != current.Report.BornMS {
+		if current.Report.Instance == instance && bornMS != 0 && bornMS != current.Report.BornMS {
 			return current, Late
 		}
 		return current.Leave(instance, now)
--- a/server/coordination/announce/registration.go
+++ b/server/coordination/announce/registration.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -56,6 +57,16 @@
 	renewals int
 	// WarmAt is the time from which the target is at full speed.
 	WarmAt time.Time
+	// leaves are the acknowledged leaves of other processes than this one.
+	leaves []leave
+}
+
+// hasLeft reports whether a process that was not registered at the time has left. A process that started later under the same
+// name has not.
+func (r Registration) hasLeft(report Report) bool {
+	return slices.ContainsFunc(r.leaves, func(l leave) bool {
+		return l.instance == report.Instance && report.BornMS <= l.at.UnixMilli()
+	})
 }
 
 // start identifies the process of the target; empty if there is none.
@@ -70,7 +81,7 @@
 // sequence, since a delayed one may arrive after a report of the next process.
 func (r Registration) Take(report Report, now time.Time) (Registration, Verdict) {
 	if r.Report.Instance == "" {
-		next := registered(report, now)
+		next := r.registered(report, now)
 		next.Unverified = true
 		return next, Replaced
 	}
@@ -80,7 +91,7 @@
 	if report.BornMS == r.Report.BornMS {
 		return r.renew(report, now)
 	}
-	return registered(report, now), Replaced
+	return r.registered(report, now), Replaced
 }
 
 // renewalsMin is the number of reports after the first which show that a target has not left, since a target that left
@@ -111,7 +122,7 @@
 		return r, Late
 	}
 	report.Draining = report.Draining || r.Leaving
-	next := registered(report, now)
+	next := r.registered(report, now)
 	next.renewals = r.renewals + 1
 	next.Unverified = r.Unverified && next.renewals < renewalsMin
 	unchanged := report
@@ -123,21 +134,40 @@
 	return next, Changed
 }
 
-func registered(report Report, now time.Time) Registration {
-	r := Registration{Report: report, State: endpoint.Alive, Heard: now, WarmAt: now.Add(report.ColdLeft)}
+// registered returns the registration of the process that sent a report.
+func (r Registration) registered(report Report, now time.Time) Registration {
+	report.Draining = report.Draining || r.hasLeft(report)
+	next := Registration{Report: report, State: endpoint.Alive, Heard: now, WarmAt: now.Add(report.ColdLeft), leaves: r.leaves}
 	if report.Draining {
-		r.State = endpoint.Draining
-		r.Leaving = true
+		next.State = endpoint.Draining
+		next.Leaving = true
 	}
-	return r
+	return next
 }
 
-// Leave returns the registration after the target announced that it leaves. The target completes the requests in flight.
+// leavesMax limits the acknowledged leaves of unknown processes that are kept. The oldest gives way.
+const leavesMax = 16
+
+// leave is the acknowledged leave of a process that was not registered at the time.
+type leave struct {
+	instance string
+	at       time.Time
+}
+
+// Leave returns the registration after the target announced that it leaves. The target completes the requests in flight. The
+// leave also binds later reports of a process that has lapsed, or that is not known because this node has restarted.
 func (r Registration) Leave(instance string, now time.Time) (Registration, Verdict) {
-	if r.Report.Instance != instance || r.State == endpoint.NoTarget {
+	if r.Report.Instance != instance {
+		r.leaves = append(slices.Clone(r.leaves), leave{instance: instance, at: now})
+		r.leaves = r.leaves[max(0, len(r.leaves)-leavesMax):]
 		return r, Late
 	}
-	if r.State == endpoint.Draining {
+	if r.Leaving {
+		return r, Renewed
+	}
+	if r.State == endpoint.NoTarget {
+		r.Leaving = true
+		r.Report.Draining = true
 		return r, Renewed
 	}
 	r.State = endpoint.Draining
--- a/server/coordination/announce/registration_test.go
+++ b/server/coordination/announce/registration_test.go
@@ -20,8 +20,8 @@
 	return r
 }
 
-// Guards against reports that were held up and bring a target back that has left or was replaced, and against a drain
-// that is forgotten while its process lives.
+// Guards against reports that were held up and bring a target back that has left or was replaced, and against an acknowledged
+// drain or leave that is forgotten while its process lives.
 func TestRegistrationOrder(t *testing.T) {
 	type step struct {
 		report  *Report
@@ -62,6 +62,18 @@
 			{lapse: true, verdict: Changed, state: endpoint.NoTarget, now: "a"},
 			take(report("a", 1, 2), Changed, endpoint.Draining, "a"),
 		}},
+		{"leave after a lapse", []step{
+			take(report("a", 1, 1), Replaced, endpoint.Alive, "a"),
+			{lapse: true, verdict: Changed, state: endpoint.NoTarget, now: "a"},
+			{leave: "a", verdict: Renewed, state: endpoint.NoTarget, now: "a"},
+			take(report("a", 1, 2), Changed, endpoint.Draining, "a"),
+		}},
+		{"leave of a process that is not known yet", []step{
+			{leave: "a", verdict: Late, state: endpoint.NoTarget, now: ""},
+			take(report("a", 1, 2), Replaced, endpoint.Draining, "a"),
+			take(report("a", 1, 3), Renewed, endpoint.Draining, "a"),
+			take(report("a", registrationStart.Add(time.Hour).UnixMilli(), 1), Replaced, endpoint.Alive, "a"),
+		}},
 		{"late report of the process before", []step{
 			take(report("a", 1, 9), Replaced, endpoint.Alive, "a"),
 			take(report("b", 2, 1), Replaced, endpoint.Alive, "b"),
