Keep the evidence of a crash that is noticed late

Cause: a run alone counted as evidence only if no request was sent after it. If the end of the target is noticed by its next report, others have been sent to the dead target in vain.

Change: a run alone is evidence if no later request got a response and no earlier one may have ended the target.

Tests: TestEvidenceOfACrashThatIsNoticedLate (its first case has no evidence before).

--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -58,8 +59,8 @@
 	mu sync.Mutex
 	// generation is incremented at each crash or restart of the target.
 	generation uint64
-	// sequence is that of the request registered last.
-	sequence uint64
+	// sequence is that of the request registered last, responded the highest of those that got a response of the target.
+	sequence, responded uint64
 	flights  map[*inFlightRequest]struct{}
 	broken   []*inFlightRequest
 }
@@ -95,10 +96,18 @@
 	delete(c.flights, f)
 }
 
+// refused removes a request that the target refused without running it.
+func (c *crashTracker) refused(f *inFlightRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.flights, f)
+	c.responded = max(c.responded, f.sequence)
+}
+
 // complete removes a request that the target ran to its end. A request that crashes the targets that run it never gets
 // there, so the crashes that are attributed to it have another cause: the counts of all nodes are cleared.
 func (c *crashTracker) complete(f *inFlightRequest) {
-	c.unregister(f)
+	c.refused(f)
 	nowMS := time.Now().UnixMilli()
 	if suspect.Latest(f.digest, c.ownLedger(), c.others(), nowMS) == 0 {
 		return
@@ -175,26 +184,40 @@
 	return true
 }
 
-// interruptedDigests returns the digests that were in flight when the current generation ended, and whether each ran alone:
-// exclusively, with no request sent after it.
+// interruptedDigests returns the digests that were in flight when the current generation ended, and whether each can only have
+// ended it by itself.
 func (c *crashTracker) interruptedDigests() map[uint64]bool {
+	interrupted := c.interrupted()
+	// The target may have ended with any request after which none got a response: the end is often noticed later.
+	first := uint64(math.MaxUint64)
+	for _, f := range interrupted {
+		if f.sequence >= c.responded {
+			first = min(first, f.sequence)
+		}
+	}
 	digests := make(map[uint64]bool)
-	add := func(f *inFlightRequest) {
-		digests[f.digest] = digests[f.digest] || (f.exclusive && f.sequence == c.sequence)
+	for _, f := range interrupted {
+		digests[f.digest] = digests[f.digest] || (f.exclusive && f.sequence == first)
 	}
+	return digests
+}
+
+// interrupted returns the requests of the current generation whose connection broke lately, and those in flight.
+func (c *crashTracker) interrupted() []*inFlightRequest {
+	var list []*inFlightRequest
 	since := time.Now().Add(-crashWindow)
 	for _, f := range c.broken {
 		if f.brokenAt.After(since) {
-			add(f)
+			list = append(list, f)
 		}
 	}
 	for f := range c.flights {
 		// Requests of an earlier generation were counted at the crash that ended it.
 		if f.generation == c.generation {
-			add(f)
+			list = append(list, f)
 		}
 	}
-	return digests
+	return list
 }
 
 // probe reports whether the address refuses connections.
--- a/server/coordination/execute/crashes_test.go
+++ b/server/coordination/execute/crashes_test.go
@@ -164,3 +164,52 @@
 	assert.DeepEqual(t, m.view().Nodes["a"].Crashes, own)
 	assert.Equal(t, m.targets[0].ran("/crash"), 0)
 }
+
+// Guards against evidence that is lost because the end of a target is noticed late, when other requests have been sent to it in
+// vain; and against evidence from a run that a later response, or an earlier end, clears of the crash.
+func TestEvidenceOfACrashThatIsNoticedLate(t *testing.T) {
+	const suspectDigest, otherDigest = 1, 2
+	send := func(c *crashTracker, digest uint64, exclusive bool) *inFlightRequest { return c.register(digest, exclusive) }
+	breaks := func(c *crashTracker, f *inFlightRequest) {
+		delete(c.flights, f)
+		f.brokenAt = time.Now()
+		c.broken = append(c.broken, f)
+	}
+	cases := []struct {
+		name string
+		play func(c *crashTracker)
+		want uint8
+	}{
+		{"others were sent in vain", func(c *crashTracker) {
+			c.refused(send(c, otherDigest, false))
+			breaks(c, send(c, suspectDigest, true))
+			breaks(c, send(c, otherDigest, false))
+		}, 1},
+		{"another one got a response afterwards", func(c *crashTracker) {
+			breaks(c, send(c, suspectDigest, true))
+			c.refused(send(c, otherDigest, false))
+			breaks(c, send(c, otherDigest, false))
+		}, 0},
+		{"the target may have ended before", func(c *crashTracker) {
+			breaks(c, send(c, otherDigest, false))
+			breaks(c, send(c, suspectDigest, true))
+		}, 0},
+		{"an earlier connection broke, and another request got a response", func(c *crashTracker) {
+			breaks(c, send(c, otherDigest, false))
+			c.refused(send(c, otherDigest, false))
+			breaks(c, send(c, suspectDigest, true))
+		}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNode(t, "127.0.0.1:1", nil)
+			tc.play(n.crashes)
+			assert.Assert(t, n.crashes.targetRestarted(false))
+			for _, c := range n.crashes.ownLedger().Crashes {
+				if c.Digest == suspectDigest {
+					assert.Equal(t, c.Count, tc.want)
+				}
+			}
+		})
+	}
+}
