Let a complete run acquit a request of crashes that are not known there yet

Cause: a clearance covered the counts that its node knew. Targets that end together are counted by several nodes; a run that ends elsewhere before their counts have spread did not clear them, and their sum may refuse the request, with no further run to clear it.

Change: a clearance also covers crashes up to now. A request that crashes each target never gets one, so the bound on its retries does not change.

Tests: TestJudge states a clearance by its time instead of the known counts; TestTrialAcquitsARefusedRequest is new (a guard, it also passes without this change).

--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -61,8 +61,8 @@
 	generation uint64
 	// sequence is that of the request registered last, responded the highest of those that got a response of the target.
 	sequence, responded uint64
-	flights  map[*inFlightRequest]struct{}
-	broken   []*inFlightRequest
+	flights             map[*inFlightRequest]struct{}
+	broken              []*inFlightRequest
 }
 
 func newCrashTracker(l suspect.Limits, others func() *suspect.Index, changed func()) *crashTracker {
--- a/server/coordination/execute/crashes_test.go
+++ b/server/coordination/execute/crashes_test.go
@@ -118,6 +118,37 @@
 	}
 }
 
+// Guards against a request that is refused for good because several targets ended for another reason while it ran alone there.
+func TestTrialAcquitsARefusedRequest(t *testing.T) {
+	m := newMesh(t, 3)
+	for _, n := range m.nodes {
+		n.crashes.limits.TrialAfter = 0
+	}
+	var held sync.WaitGroup
+	end := func(i int) {
+		held.Go(func() {
+			r := request("/page")
+			r.Headers = []wire.Header{{Name: "X-Hold", Value: "1"}}
+			m.nodes[i].Execute(t.Context(), r)
+		})
+		<-m.held
+		m.targets[i].crash()
+		held.Wait()
+	}
+	for _, i := range []int{0, 0, 1} {
+		end(i)
+		m.targets[i].start()
+		time.Sleep(2 * time.Millisecond) // The counts differ in their times, which have milliseconds.
+	}
+	for _, i := range []int{0, 2} {
+		assert.Equal(t, m.nodes[i].Execute(t.Context(), request("/page")).Reason, outcome.ReasonSuspect)
+	}
+	// The node with the latest crash runs it once more.
+	for _, n := range []*testNode{m.nodes[1], m.nodes[0], m.nodes[2]} {
+		assert.Equal(t, n.Execute(t.Context(), request("/page")).Outcome, outcome.Answered)
+	}
+}
+
 // Guards against nodes that forget with their restart which requests crash targets, so that such a request runs again after
 // a roll of the mesh, and against a trial for each process.
 func TestRestartsForgetRequestsThatCrashTargets(t *testing.T) {
@@ -169,7 +200,9 @@
 // vain; and against evidence from a run that a later response, or an earlier end, clears of the crash.
 func TestEvidenceOfACrashThatIsNoticedLate(t *testing.T) {
 	const suspectDigest, otherDigest = 1, 2
-	send := func(c *crashTracker, digest uint64, exclusive bool) *inFlightRequest { return c.register(digest, exclusive) }
+	send := func(c *crashTracker, digest uint64, exclusive bool) *inFlightRequest {
+		return c.register(digest, exclusive)
+	}
 	breaks := func(c *crashTracker, f *inFlightRequest) {
 		delete(c.flights, f)
 		f.brokenAt = time.Now()
--- a/server/state/suspect/ledger.go
+++ b/server/state/suspect/ledger.go
@@ -43,12 +43,12 @@
 	return next
 }
 
-// Clear states that a target ran a digest to its end. upToMS is the result of Latest. When the clearances are full, the one
-// that ends first gives way.
-func (b Ledger) Clear(digest uint64, upToMS, nowMS int64, l Limits) Ledger {
+// Clear states that a target ran a digest to its end. It covers the counts up to latestMS, the result of Latest, and those of
+// crashes before now that this node has not heard of yet. When the clearances are full, the one that ends first gives way.
+func (b Ledger) Clear(digest uint64, latestMS, nowMS int64, l Limits) Ledger {
 	next := b.Expire(nowMS)
 	next.Cleared = slices.DeleteFunc(slices.Clone(next.Cleared), func(c endpoint.Clearance) bool { return c.Digest == digest })
-	cleared := endpoint.Clearance{Digest: digest, UpToMS: max(upToMS, b.clearedUpTo(digest))}
+	cleared := endpoint.Clearance{Digest: digest, UpToMS: max(latestMS, nowMS+l.TTL.Milliseconds(), b.clearedUpTo(digest))}
 	next.Cleared = dropFirst(append(next.Cleared, cleared), 2*l.Max, compareClearances)
 	return next
 }
--- a/server/state/suspect/suspect_test.go
+++ b/server/state/suspect/suspect_test.go
@@ -48,13 +48,13 @@
 	b = b.Crash(1, true, 0, 0, testLimits).Crash(1, true, 0, 0, testLimits)
 	for digest := uint64(2); digest < 20; digest++ {
 		b = b.Crash(digest, false, int64(digest), 0, testLimits)
-		b = b.Clear(digest, 100+int64(digest), 0, testLimits)
+		b = b.Clear(digest, testTTL+int64(digest), 0, testLimits)
 	}
 	assert.Equal(t, len(b.Crashes), testLimits.Max)
 	assert.Equal(t, len(b.Cleared), 2*testLimits.Max)
 	assert.Assert(t, slices.ContainsFunc(b.Crashes, func(c endpoint.CrashCount) bool { return c.Digest == 1 && c.Count == 2 }))
 	assert.Assert(t, slices.ContainsFunc(b.Crashes, func(c endpoint.CrashCount) bool { return c.Digest == 19 }))
-	assert.Equal(t, b.clearedUpTo(19), int64(119))
+	assert.Equal(t, b.clearedUpTo(19), int64(testTTL+19))
 }
 
 // Guards against a request that crashes targets on many nodes without being stopped by the sum of its crashes, against one
@@ -72,7 +72,7 @@
 	}
 	others := NewIndex(slices.Values(entries), "self", testProcess)
 	own := Ledger{Process: testProcess, Crashes: []endpoint.CrashCount{count(1, 1, late), count(5, 4, late)}}
-	cleared := own.Clear(1, late, 0, testLimits)
+	cleared := own.Clear(1, 0, late-testTTL, testLimits)
 	cases := []struct {
 		digest uint64
 		own    Ledger
