Soak: end all processes on SIGTERM, and do not crash when a caller is stopped

Cause: the command handled SIGINT only; its nodes lived on after a SIGTERM and held their addresses. Caller.Do read its connection again when its context ended, after another goroutine had closed it.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"wagtailford.example/standin/soak"
@@ -21,7 +22,7 @@
 	length := flag.Duration("length", 20*time.Second, "how long faults come for each seed")
 	dir := flag.String("dir", "", "folder for settings and logs; a temporary one without it")
 	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := play(ctx, *program, *dir, *first, *count, *nodes, *length); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -73,7 +73,8 @@
 	if err := c.connect(); err != nil {
 		return Reply{Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
+	conn := c.conn
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if call.Patience > 0 {
 		c.conn.SetDeadline(started.Add(call.Patience))
