Soak: count the runs of a target once if the next one cannot start

Cause: the runs of an ended target were kept before its successor was started.

Change: they are kept after the start.

--- a/standin/soak/incidents.go
+++ b/standin/soak/incidents.go
@@ -155,10 +155,11 @@
 		return // Another fault has replaced it already.
 	}
 	time.Sleep(crashedTime)
-	n.run.check.ended(t)
 	if err := n.startTarget(); err != nil {
 		n.run.check.fault("START", err.Error())
+		return
 	}
+	n.run.check.ended(t)
 }
 
 // What the mesh promises for a request that ends the targets that run it: at most crashRetriesMax runs that were sent later than
--- a/standin/soak/schedule.go
+++ b/standin/soak/schedule.go
@@ -144,10 +144,11 @@
 		if leave == nil {
 			time.Sleep(lasts)
 		}
-		r.check.ended(target)
 		if err := n.startTarget(); err != nil {
 			r.check.fault("START", err.Error())
+			return
 		}
+		r.check.ended(target)
 	})
 }
 
