Start a stand-in target's reports before it serves

Cause: StartTarget began to serve before it added the goroutine of the reports to Target.beats. A first request that crashes the target makes Crash wait for beats, without any order to that Add: a misuse of the WaitGroup, which the race detector reports.

Change: the reports start first. They need the listener only, which is open by then. The daemon has no part in it.

--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -115,8 +115,9 @@
 	t.server = &http.Server{Handler: t, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, lastRefusalKey{}, new(string))
 	}}
-	go t.server.Serve(l)
 	t.beats.Go(func() { t.beat(ctx) })
+	// The first request may already end the target, and Crash waits for the beats.
+	go t.server.Serve(l)
 	return t, nil
 }
 
