End a soak only when its targets are no longer replaced

Cause: the goroutine that replaces a crashed target is not waited for. A run of the soak could collect the targets' runs while a target was being replaced: between the start of the next target and check.ended the runs of the one before were in neither list, and in between they could be counted twice. It also read node.target without its lock.

Change: holdTargets claims every node before the runs are collected and keeps it; a crash after that replaces nothing.

--- a/standin/soak/incidents.go
+++ b/standin/soak/incidents.go
@@ -148,6 +148,9 @@
 func (n *node) targetCrashed(t *platform.Target) {
 	t.Crash()
 	for !n.claim() {
+		if n.run.over.Load() {
+			return
+		}
 		time.Sleep(time.Millisecond)
 	}
 	defer n.release()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,8 @@
 	version  int
 	// bursts are calls that nobody waits for before the end.
 	bursts sync.WaitGroup
+	// over is true once no target is replaced any more.
+	over atomic.Bool
 }
 
 // node is one process with its target and the links that it uses.
@@ -115,6 +118,7 @@
 	stop()
 	wg.Wait()
 	r.bursts.Wait()
+	r.holdTargets()
 	runs := r.allRuns()
 	r.check.end(runs)
 	r.check.endCrashing(runs)
@@ -287,6 +291,17 @@
 	return nil
 }
 
+// holdTargets waits for replacements of targets that are in progress, and lets no more begin.
+func (r *run) holdTargets() {
+	r.over.Store(true)
+	for _, n := range r.nodes {
+		for !n.claim() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// allRuns returns the runs of all targets. The targets are held.
 func (r *run) allRuns() []platform.Run {
 	var all []platform.Run
 	for _, n := range r.nodes {
@@ -295,6 +310,7 @@
 	return append(all, r.check.past...)
 }
 
+// allArrivals returns the arrivals at all targets. The targets are held.
 func (r *run) allArrivals() []platform.Arrival {
 	var all []platform.Arrival
 	for _, n := range r.nodes {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -4,10 +4,13 @@
 	"net"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wagtailford.example/standin/platform"
 )
 
 // seeds are played in CI: seed 1, and every seed that ever failed, with the cause.
@@ -46,3 +49,36 @@
 	assert.NilError(t, n.startTarget())
 	n.target.Crash()
 }
+
+// Guards against a soak that loses runs, or counts them twice, because a target is being replaced when it ends.
+func TestTargetReplacedAtTheEnd(t *testing.T) {
+	const ip = "127.0.39.2"
+	link, err := startProxy(ip+":7103", ip+":7203")
+	assert.NilError(t, err)
+	defer link.close()
+	r := &run{check: newCheck()}
+	n := &node{run: r, ip: ip, targetLink: link}
+	r.nodes = []*node{n}
+	assert.NilError(t, n.startTarget())
+	first := n.current()
+	call := r.check.next("/write/1")
+	caller := platform.NewCaller(ip + ":7203")
+	defer caller.Close()
+	reply := caller.Do(t.Context(), call)
+	assert.Assert(t, reply.Whole(call))
+	var replacement sync.WaitGroup
+	replacement.Go(func() { n.targetCrashed(first) })
+	for n.claim() {
+		n.release()
+		time.Sleep(time.Millisecond)
+	}
+
+	r.holdTargets()
+	second := n.target
+	assert.Assert(t, second != first)
+	assert.Equal(t, len(r.allRuns()), 1)
+	assert.Equal(t, len(r.allArrivals()), 1)
+	replacement.Wait()
+	n.targetCrashed(second)
+	assert.Assert(t, n.current() == second)
+}
