Give the tests of slow bytes longer timeouts and slower bytes

Cause: the fault is the tests'. Their timeouts were 160 and 100 ms, so a thread of the test that is not scheduled for that long looks like the end of the bytes. What they check is the relation: bytes that arrive slower in all than the timeout, with pauses below it, are no silence.

Change: timeouts of 2 s, bytes that take 2.4 s in all with pauses of 100 and 50 ms. The checks are the same: the whole response is read, a response that stops is ErrStalled, no connection counts as silent.

--- a/server/transport/httpclient/httpclient_test.go
+++ b/server/transport/httpclient/httpclient_test.go
@@ -217,13 +217,14 @@
 // Guards against a large response on a narrow link that is given up although it arrives, again and again, and against
 // waiting for one that has stopped.
 func TestSlowResponseIsReadWhole(t *testing.T) {
-	const pieces, pause = 8, 40 * time.Millisecond
+	// The response takes longer than the stall, and a pause of the test's own threads on a busy machine does not.
+	const pieces, pause, stall = 24, 100 * time.Millisecond, 2 * time.Second
 	send := func(pieces int) string {
 		return serve(t, func(conn net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err != nil {
 				return
 			}
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n")
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 48\r\n\r\n")
 			for range pieces {
 				time.Sleep(pause)
 				io.WriteString(conn, "ab")
@@ -231,19 +232,19 @@
 			io.Copy(io.Discard, conn)
 		})
 	}
-	c, err := New(Limits{DialTimeout: testTimeout, IdleTimeout: time.Minute, BodyMaxBytes: 64, Stall: 4 * pause})
+	c, err := New(Limits{DialTimeout: testTimeout, IdleTimeout: time.Minute, BodyMaxBytes: 64, Stall: stall})
 	assert.NilError(t, err)
 	t.Cleanup(c.CloseIdle)
 	call := func(address string) (string, error) {
 		req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 		req.Header.SetHost(address)
 		req.Header.SetRequestURI("/")
-		err := c.DoAddress(t.Context(), address, req, resp, 4*pause)
+		err := c.DoAddress(t.Context(), address, req, resp, stall)
 		return string(resp.Body()), err
 	}
 	body, err := call(send(pieces))
 	assert.NilError(t, err)
-	assert.Equal(t, body, "abababababababab")
+	assert.Equal(t, body, strings.Repeat("ab", pieces))
 	_, err = call(send(pieces / 2))
 	assert.ErrorIs(t, err, ErrStalled)
 	var lost *LostError
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -42,11 +42,16 @@
 }
 
 func startServer(t *testing.T, c Credential) (address string, e *echo) {
+	t.Helper()
+	return startServerWith(t, c, testLimits())
+}
+
+func startServerWith(t *testing.T, c Credential, limits Limits) (address string, e *echo) {
 	t.Helper()
 	e = &echo{release: make(chan struct{})}
 	r := rpc.NewServer()
 	assert.NilError(t, r.RegisterName("Echo", e))
-	s := NewServer(r, c, testLimits())
+	s := NewServer(r, c, limits)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go s.Serve(l)
@@ -62,7 +67,12 @@
 
 func newTestPool(t *testing.T, c Credential) *Pool {
 	t.Helper()
-	p := NewPool(c, testLimits())
+	return newTestPoolWith(t, c, testLimits())
+}
+
+func newTestPoolWith(t *testing.T, c Credential, limits Limits) *Pool {
+	t.Helper()
+	p := NewPool(c, limits)
 	t.Cleanup(p.Close)
 	return p
 }
@@ -289,7 +299,7 @@
 }
 
 func (c *slowConn) Read(p []byte) (int, error) {
-	const pieceBytes, pause = 1 << 10, 10 * time.Millisecond
+	const pieceBytes, pause = 1 << 10, 50 * time.Millisecond
 	time.Sleep(pause)
 	return c.Conn.Read(p[:min(len(p), pieceBytes)])
 }
@@ -297,8 +307,11 @@
 // Guards against a connection that is given up as silent while a large reply is on its way, whose caller would not hear of
 // work that ran.
 func TestSlowFrameIsNotSilence(t *testing.T) {
-	address, _ := startServer(t, testCredential)
-	pool := newTestPool(t, testCredential)
+	// The reply takes longer than the timeout, and a pause of the test's own threads on a busy machine does not.
+	limits := testLimits()
+	limits.SilenceTimeout = 2 * time.Second
+	address, _ := startServerWith(t, testCredential, limits)
+	pool := newTestPoolWith(t, testCredential, limits)
 	dial := pool.dial
 	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dial(ctx, address)
