Name the holder of a target's address that stays in use

Nothing recorded tells an old target that still listens from a copy of its listener in a process that is being started.

Change: the message says which instance answers a health check at the address, or that none does. No check or bound changes.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -282,6 +283,9 @@
 		time.Sleep(time.Millisecond)
 		target, err = platform.StartTarget(settings)
 	}
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return fmt.Errorf("%w: held by %s", err, holder(settings.Listen))
+	}
 	if err != nil {
 		return err
 	}
@@ -291,6 +295,17 @@
 	return nil
 }
 
+// holder names the instance that answers health checks at an address. A listener that is only held open answers none.
+func holder(address string) string {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + address + platform.HealthPath)
+	if err != nil {
+		return "no instance: " + err.Error()
+	}
+	resp.Body.Close()
+	return "instance " + resp.Header.Get("Instance-Id")
+}
+
 // holdTargets waits for replacements of targets that are in progress, and lets no more begin.
 func (r *run) holdTargets() {
 	r.over.Store(true)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -50,6 +50,18 @@
 	n.target.Crash()
 }
 
+// Guards against an address in use of which nobody can tell afterwards who held it.
+func TestAddressInUseNamesItsHolder(t *testing.T) {
+	const ip = "127.0.39.3"
+	link, err := startProxy(ip+":7103", ip+":7203")
+	assert.NilError(t, err)
+	defer link.close()
+	n := &node{run: &run{}, ip: ip, targetLink: link}
+	assert.NilError(t, n.startTarget())
+	defer n.target.Crash()
+	assert.ErrorContains(t, n.startTarget(), "held by instance i-0-1")
+}
+
 // Guards against a soak that loses runs, or counts them twice, because a target is being replaced when it ends.
 func TestTargetReplacedAtTheEnd(t *testing.T) {
 	const ip = "127.0.39.2"
