Publish the soak's configurations one at a time

Cause: each fault of the kind "configuration" publishes in a goroutine of its own and counted run.version without a lock. Two at once could publish one version twice, or an older one after a newer one, which the mesh may rightly ignore.

Change: the version is counted and published under one mutex.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -51,7 +51,10 @@
 	random   *rand.Rand
 	nodes    []*node
 	check    *check
-	version  int
+
+	// publishing keeps the order of the versions in the store.
+	publishing sync.Mutex
+	version    int
 	// bursts are calls that nobody waits for before the end.
 	bursts sync.WaitGroup
 	// over is true once no target is replaced any more.
@@ -140,6 +143,8 @@
 
 // publish appends the next configuration; its idle routes differ from version to version.
 func (r *run) publish() {
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
 	r.version++
 	r.store.PublishConfig(fmt.Appendf(nil, `{"version":%d,"limits":{"idle-timeout-s":15},"listeners":[{"host":"shop.example","rules":[
 		{"name":"read","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/read/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":3}},
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -50,6 +50,21 @@
 	n.target.Crash()
 }
 
+// Guards against configurations that are published at the same time under one version, or with an older version last.
+func TestConfigurationsPublishedAtOnce(t *testing.T) {
+	store, err := platform.StartStore("127.0.0.1:0", 1)
+	assert.NilError(t, err)
+	defer store.Close()
+	r := &run{store: store}
+	const publications = 32
+	var all sync.WaitGroup
+	for range publications {
+		all.Go(r.publish)
+	}
+	all.Wait()
+	assert.Equal(t, r.version, publications)
+}
+
 // Guards against an address in use of which nobody can tell afterwards who held it.
 func TestAddressInUseNamesItsHolder(t *testing.T) {
 	const ip = "127.0.39.3"
