Rename crashTracker.refused to noteResponse

Cause: complete calls it too, for a request that ran to its end, so its name says less than it does.

Change: the name and its comment; no behaviour.

Measured: tests of execute pass under the race detector.

--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -96,8 +96,8 @@
 	delete(c.flights, f)
 }
 
-// refused removes a request that the target refused without running it.
-func (c *crashTracker) refused(f *inFlightRequest) {
+// noteResponse removes a request to which the target has responded: the requests registered before it have not crashed it.
+func (c *crashTracker) noteResponse(f *inFlightRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.flights, f)
@@ -107,7 +107,7 @@
 // complete removes a request that the target ran to its end. A request that crashes the targets that run it never gets
 // there, so the crashes that are attributed to it have another cause: the counts of all nodes are cleared.
 func (c *crashTracker) complete(f *inFlightRequest) {
-	c.refused(f)
+	c.noteResponse(f)
 	nowMS := time.Now().UnixMilli()
 	if suspect.Latest(f.digest, c.ownLedger(), c.others(), nowMS) == 0 {
 		return
--- a/server/coordination/execute/crashes_test.go
+++ b/server/coordination/execute/crashes_test.go
@@ -214,13 +214,13 @@
 		want uint8
 	}{
 		{"others were sent in vain", func(c *crashTracker) {
-			c.refused(send(c, otherDigest, false))
+			c.noteResponse(send(c, otherDigest, false))
 			breaks(c, send(c, suspectDigest, true))
 			breaks(c, send(c, otherDigest, false))
 		}, 1},
 		{"another one got a response afterwards", func(c *crashTracker) {
 			breaks(c, send(c, suspectDigest, true))
-			c.refused(send(c, otherDigest, false))
+			c.noteResponse(send(c, otherDigest, false))
 			breaks(c, send(c, otherDigest, false))
 		}, 0},
 		{"the target may have ended before", func(c *crashTracker) {
@@ -229,7 +229,7 @@
 		}, 0},
 		{"an earlier connection broke, and another request got a response", func(c *crashTracker) {
 			breaks(c, send(c, otherDigest, false))
-			c.refused(send(c, otherDigest, false))
+			c.noteResponse(send(c, otherDigest, false))
 			breaks(c, send(c, suspectDigest, true))
 		}, 1},
 	}
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -60,7 +60,7 @@
 	}
 	switch kind {
 	case ResponseShed:
-		e.crashes.refused(f)
+		e.crashes.noteResponse(f)
 		return markArrived(refused(outcome.ReasonTargetFull))
 	case ResponseWrongInstance:
 		e.crashes.unregister(f)
