Refuse a request that arrives after its cancellation

Cause: a cancellation of an attempt that was not in progress was forgotten. New calls leave a connection whose ping is not answered, so the cancellation of a request that is still on its way there travels on a new connection and arrives first. When the old connection moves again, the request runs for nobody. On one connection the same could happen by the order of two goroutines.

Change: such a cancellation is kept by sender and attempt for 10 s, 4096 of them at most, and its attempt is refused as not run. The dump counts these requests as Overtaken.

Measured: TestCancelOvertakesItsRequest failed before (the request ran until its deadline and ended as unknown); it and TestOvertakingCancellationsAreBounded pass, 4 runs under the race detector.

--- a/server/coordination/execute/counters.go
+++ b/server/coordination/execute/counters.go
@@ -44,6 +44,7 @@
 	Answered      int64
 	Unknown       int64
 	Cancelled     int64
+	Overtaken     int64
 	Refused       map[outcome.Reason]int64
 	Crashes       int64
 	CrashCounts   []endpoint.CrashCount
@@ -69,6 +70,7 @@
 		Answered:      e.Counters.Answered.Load(),
 		Unknown:       e.Counters.Unknown.Load(),
 		Cancelled:     e.Counters.Cancelled.Load(),
+		Overtaken:     e.Counters.Overtaken.Load(),
 		Refused:       e.Counters.Refused.Load(),
 		Crashes:       e.Counters.Crashes.Load(),
 		CrashCounts:   e.crashes.ownLedger().Crashes,
--- a/server/coordination/execute/execute_test.go
+++ b/server/coordination/execute/execute_test.go
@@ -130,6 +130,43 @@
 	return target, held, gone
 }
 
+// Guards against a request that reaches the target long after its caller has left, because it was delayed on one connection
+// and its cancellation came on another one.
+func TestCancelOvertakesItsRequest(t *testing.T) {
+	target, held, _ := blockingTarget(t)
+	n := newNode(t, target.address, nil)
+	for range 2 {
+		assert.NilError(t, n.Receiver().Cancel(&wire.CancelArgs{From: "sender", ID: 1}, nil))
+	}
+	var reply wire.Response
+	r := request("/hold")
+	r.TimeoutMS = 500
+	assert.NilError(t, n.Receiver().Execute(r, &reply))
+	assert.Equal(t, reply.Outcome, outcome.RefusedNotRun)
+	assert.Equal(t, reply.Reason, outcome.ReasonCanceled)
+	assert.Equal(t, len(held), 0)
+	assert.Equal(t, n.Counters.Overtaken.Load(), int64(1))
+
+	other := request("/ok")
+	other.From = "other"
+	assert.NilError(t, n.Receiver().Execute(other, &reply))
+	assert.Equal(t, reply.Outcome, outcome.Answered, "the same number of another sender is another attempt")
+}
+
+// Guards against memory that grows with the cancellations of attempts that never arrive.
+func TestOvertakingCancellationsAreBounded(t *testing.T) {
+	var a attempts
+	now := time.Now()
+	for id := range uint64(3 * overtakingMax) {
+		a.cancel("sender", id, now)
+	}
+	assert.Equal(t, len(a.canceled), overtakingMax)
+	assert.Equal(t, len(a.queue), overtakingMax)
+	a.cancel("sender", 1, now.Add(2*overtakingTTL))
+	assert.Equal(t, len(a.canceled), 1)
+	assert.Equal(t, len(a.queue), 1)
+}
+
 // Guards against a request that continues at the target after it was cancelled or its deadline passed, and against
 // a slot that is not released.
 func TestCancelAndDeadline(t *testing.T) {
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -88,11 +88,13 @@
 // Counters counts requests by outcome.
 type Counters struct {
 	// Admitted counts the requests that obtained a slot.
-	Admitted        atomic.Int64
-	Answered        atomic.Int64
-	Unknown         atomic.Int64
-	Refused         ReasonCounts
-	Cancelled       atomic.Int64
+	Admitted  atomic.Int64
+	Answered  atomic.Int64
+	Unknown   atomic.Int64
+	Refused   ReasonCounts
+	Cancelled atomic.Int64
+	// Overtaken counts the attempts that arrived after their cancellation.
+	Overtaken       atomic.Int64
 	Crashes         atomic.Int64
 	SuspectsBlocked atomic.Int64
 }
@@ -282,7 +284,12 @@
 	deadline := time.Now().Add(time.Duration(r.TimeoutMS) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	defer e.attempts.add(r.From, r.ID, cancel)()
+	canceled, remove := e.attempts.add(r.From, r.ID, cancel)
+	defer remove()
+	if canceled {
+		e.Counters.Overtaken.Add(1)
+		return e.logUnanswered(r, e.recordOutcome(refused(outcome.ReasonCanceled), r.Kind))
+	}
 	if reason := e.fetchBody(ctx, r, deadline); reason != outcome.ReasonNone {
 		return e.logUnanswered(r, e.recordOutcome(refused(reason), r.Kind))
 	}
--- a/server/coordination/execute/receiver.go
+++ b/server/coordination/execute/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"wagtailford.example/server/protocol/wire"
 )
@@ -26,10 +27,10 @@
 	return r.Execute(args, reply)
 }
 
-// Cancel cancels an attempt in progress. A queued request is refused as not run; the connection of a running
-// request is closed.
+// Cancel cancels an attempt. A queued request, or one that arrives only after its cancellation, is refused as not run; the
+// connection of a running request is closed.
 func (r *Receiver) Cancel(args *wire.CancelArgs, _ *wire.CancelReply) error {
-	r.executor.attempts.cancel(args.From, args.ID)
+	r.executor.attempts.cancel(args.From, args.ID, time.Now())
 	return nil
 }
 
@@ -39,25 +40,47 @@
 	id   uint64
 }
 
+// Cancellations of attempts that are not in progress: most of these attempts have ended, but a cancellation can also overtake
+// its attempt if they travel on different connections.
+const (
+	// overtakingTTL is how long such a cancellation applies. A connection whose peer does not respond is given up much earlier.
+	overtakingTTL = 10 * time.Second
+	// overtakingMax bounds their number; the oldest one gives way.
+	overtakingMax = 4096
+)
+
+// overtaking is a cancellation of an attempt that was not in progress when it arrived.
+type overtaking struct {
+	key     attempt
+	expires time.Time
+}
+
 // attempts maps attempts in progress to their cancel functions. The zero value is ready to use.
 type attempts struct {
 	mu      sync.Mutex
 	running map[attempt]*context.CancelFunc
+	// canceled are attempts that were cancelled while not in progress, and queue their cancellations by time of arrival.
+	canceled map[attempt]struct{}
+	queue    []overtaking
 }
 
-// add registers an attempt until the returned function is called. Attempts without an ID can't be cancelled.
-func (a *attempts) add(from string, id uint64, cancel context.CancelFunc) func() {
+// add registers an attempt until remove is called. canceled is true if it was cancelled before it arrived. Attempts without an
+// ID can't be cancelled.
+func (a *attempts) add(from string, id uint64, cancel context.CancelFunc) (canceled bool, remove func()) {
 	if id == 0 {
-		return func() {}
+		return false, func() {}
 	}
 	key := attempt{from: from, id: id}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if _, canceled := a.canceled[key]; canceled {
+		return true, func() {}
+	}
 	if a.running == nil {
 		a.running = make(map[attempt]*context.CancelFunc)
 	}
 	a.running[key] = &cancel
-	return func() { a.remove(key, &cancel) }
+	return false, func() { a.remove(key, &cancel) }
 }
 
 func (a *attempts) remove(key attempt, cancel *context.CancelFunc) {
@@ -68,11 +91,31 @@
 	}
 }
 
-func (a *attempts) cancel(from string, id uint64) {
+func (a *attempts) cancel(from string, id uint64, now time.Time) {
+	key := attempt{from: from, id: id}
 	a.mu.Lock()
-	cancel := a.running[attempt{from: from, id: id}]
+	cancel := a.running[key]
+	if cancel == nil {
+		a.keep(key, now)
+	}
 	a.mu.Unlock()
 	if cancel != nil {
 		(*cancel)()
 	}
 }
+
+// keep notes the cancellation of an attempt that is not in progress. The lock must be held.
+func (a *attempts) keep(key attempt, now time.Time) {
+	for len(a.queue) > 0 && (len(a.queue) >= overtakingMax || now.After(a.queue[0].expires)) {
+		delete(a.canceled, a.queue[0].key)
+		a.queue = a.queue[1:]
+	}
+	if _, known := a.canceled[key]; known {
+		return
+	}
+	if a.canceled == nil {
+		a.canceled = make(map[attempt]struct{})
+	}
+	a.canceled[key] = struct{}{}
+	a.queue = append(a.queue, overtaking{key: key, expires: now.Add(overtakingTTL)})
+}
