Do not send calls whose callers left while a connection took no bytes

What callers saw: a request could reach a target long after its caller had left, and a caller could wait beyond the end of its time.

Cause: net/rpc writes one request at a time. While one was blocked on a connection that took no bytes, all later calls waited in Client.Go, which does not know their contexts, and were written when the connection moved again.

Change: a call waits for its turn to write in Pool.Call, which gives it up when its context ends and reports it as not sent, which is true. The one call that is being written still waits, up to WriteTimeout. A caller that left is no failure to connect to the target (notSentReason).

TestCallerThatLeavesEarlyIsNoConnectFailure is new with its function.

--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -369,3 +369,14 @@
 	assert.Equal(t, asked, 3, "the request is offered to others")
 	assert.Equal(t, result.Outcome, outcome.Answered)
 }
+
+// Guards against a target that counts as unreachable because callers left before their requests were sent.
+func TestCallerThatLeavesEarlyIsNoConnectFailure(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	assert.Equal(t, notSentReason(ctx), outcome.ReasonConnectFailed)
+	stopping, stop := context.WithCancelCause(ctx)
+	stop(errStopping)
+	assert.Equal(t, notSentReason(stopping), outcome.ReasonConnectFailed)
+	cancel(context.Canceled)
+	assert.Equal(t, notSentReason(ctx), outcome.ReasonCanceled)
+}
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -227,7 +227,7 @@
 	}
 	var notSent *peer.NotSentError
 	if errors.As(err, &notSent) {
-		return refusal(outcome.ReasonConnectFailed), false
+		return refusal(notSentReason(ctx)), false
 	}
 	// reply must not be read from here on, since a late response may still be decoded into it.
 	if callCtx.Err() != nil {
@@ -236,6 +236,14 @@
 	return lostResponse(ctx, err), false
 }
 
+// notSentReason returns the reason for an attempt that was not sent. It says nothing about the target if the caller left.
+func notSentReason(ctx context.Context) outcome.Reason {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStopping) {
+		return outcome.ReasonCanceled
+	}
+	return outcome.ReasonConnectFailed
+}
+
 // lostResponse returns the response for an attempt whose reply was not received. The target may have run the
 // request.
 func lostResponse(ctx context.Context, err error) *wire.Response {
--- a/server/transport/peer/peer_test.go
+++ b/server/transport/peer/peer_test.go
@@ -17,9 +17,11 @@
 
 type echo struct {
 	release chan struct{}
+	said    atomic.Int64
 }
 
 func (e *echo) Say(args *string, reply *string) error {
+	e.said.Add(1)
 	*reply = *args
 	return nil
 }
@@ -293,6 +295,59 @@
 	}
 }
 
+// blockedConn takes no bytes from the time at which blocked is set until open is closed. The first write in that time sends a
+// value on entered.
+type blockedConn struct {
+	net.Conn
+	blocked *atomic.Bool
+	entered chan struct{}
+	open    chan struct{}
+}
+
+func (c *blockedConn) Write(p []byte) (int, error) {
+	if c.blocked.Load() {
+		select {
+		case c.entered <- struct{}{}:
+		default:
+		}
+		<-c.open
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against a request that is sent when its caller has long left, because it waited for a connection that took no bytes,
+// and against a caller that is held there.
+func TestEndedCallIsNotSent(t *testing.T) {
+	address, e := startServer(t, testCredential)
+	limits := testLimits()
+	limits.PingInterval, limits.SilenceTimeout = time.Minute, time.Minute
+	pool := newTestPoolWith(t, testCredential, limits)
+	var blocked atomic.Bool
+	entered, open := make(chan struct{}, 1), make(chan struct{})
+	dial := pool.dial
+	pool.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
+		return &blockedConn{Conn: conn, blocked: &blocked, entered: entered, open: open}, err
+	}
+	say := func(ctx context.Context) error {
+		args, reply := "a", ""
+		return pool.Call(ctx, address, "Echo.Say", &args, &reply)
+	}
+	assert.NilError(t, say(t.Context()))
+	first := make(chan error, 1)
+	blocked.Store(true)
+	go func() { first <- say(t.Context()) }()
+	<-entered
+	ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer leave()
+	err := say(ctx)
+	assert.Assert(t, isNotSent(err) && errors.Is(err, context.DeadlineExceeded), "got %v", err)
+	close(open)
+	assert.NilError(t, <-first)
+	assert.NilError(t, say(t.Context()))
+	assert.Equal(t, e.said.Load(), int64(3))
+}
+
 // slowConn lets bytes arrive slowly, as a narrow link does.
 type slowConn struct {
 	net.Conn
--- a/server/transport/peer/pool.go
+++ b/server/transport/peer/pool.go
@@ -29,6 +29,8 @@
 type clientConn struct {
 	address string
 	opened  chan struct{}
+	// sending is held by the call whose request is being written.
+	sending chan struct{}
 	err     error
 	client  *rpc.Client
 	stream  *messageStream
@@ -73,7 +75,10 @@
 	}
 	conn.lastUse.Store(now)
 	defer conn.pending.Add(-1)
-	call := conn.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call, err := conn.start(ctx, method, args, reply)
+	if err != nil {
+		return &NotSentError{Cause: err}
+	}
 	select {
 	case <-call.Done:
 		return p.classify(conn, call.Error)
@@ -83,6 +88,21 @@
 	}
 }
 
+// start writes the request of a call. A call that ends while others are being written to a slow connection is not sent: the
+// other end would run it for nobody.
+func (c *clientConn) start(ctx context.Context, method string, args, reply any) (*rpc.Call, error) {
+	select {
+	case c.sending <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-c.sending }()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return c.client.Go(method, args, reply, make(chan *rpc.Call, 1)), nil
+}
+
 // hasUnansweredCall reports whether a call was abandoned and nothing has arrived since its start.
 func (c *clientConn) hasUnansweredCall() bool { return c.abandoned.Load() >= c.stream.lastRead.Load() }
 
@@ -115,7 +135,9 @@
 	}
 	conn, ok := p.conns[address]
 	if !ok || conn.dead.Load() {
-		conn = &clientConn{address: address, opened: make(chan struct{}), done: make(chan struct{})}
+		conn = &clientConn{
+			address: address, opened: make(chan struct{}), done: make(chan struct{}), sending: make(chan struct{}, 1),
+		}
 		p.conns[address] = conn
 		go p.open(conn)
 	}
