Close connections whose request body the target may not have read

Cause: a target may reject a long request before it has read its body, and read the rest later. The node took the connection back into use at once; the next request was written behind the rest of that body and could not be recalled: closing the connection does not take back what the target's system has received.

Change: after a response that is no success, the connection of a request with a body of more than 4 KiB is closed. A success needs the whole body.

--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -276,13 +276,24 @@
 		if match == Mismatched {
 			continue
 		}
-		reusable := framed && match == Matched && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() && cn.reader.Len() == 0
+		reusable := framed && match == Matched && skipped == 0 && !req.ConnectionClose() && !resp.ConnectionClose() &&
+			cn.reader.Len() == 0 && !mayHaveUnreadBody(req, resp)
 		cn.noteIdleTimeout(resp, c.limits.IdleTimeout)
 		return reusable, cn.reader.Release()
 	}
 	return false, fmt.Errorf("%w: %d responses to other requests", ErrCut, skippedMax+1)
 }
 
+// readWithHead is the size of a request body, in bytes, that servers commonly read together with the head.
+const readWithHead = 4 << 10
+
+// mayHaveUnreadBody reports whether the server may have responded before it has read the request body. The next request on the
+// connection would wait, and could not be recalled, until the server has read the rest. A success needs the whole body.
+func mayHaveUnreadBody(req *protocol.Request, resp *protocol.Response) bool {
+	success := resp.StatusCode() >= 200 && resp.StatusCode() < 300
+	return !success && len(req.Body()) > readWithHead
+}
+
 // readResponse reads one whole response. framed is false if its body ended with the connection.
 func (c *Client) readResponse(cn *conn, req *protocol.Request, resp *protocol.Response) (framed bool, err error) {
 	resp.Reset()
