Name what is in force and what was refused in control

A complete configuration from a peer that cannot be decoded was counted among the failed syncs and nothing else; no line, counter or dump field said that it had arrived, from whom, and why it was refused.

View and dump carry the publisher's sequence, the peer (or "source") and the time of the version in force; the dump also has the last rejection. The highest offset heard of is an atomic, Loop.HighestOffset. No decision changes: SyncsFailed still counts rejections and the next poll asks again. applyRecords and install take the origin; the benchmark passes it.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -11,10 +11,10 @@
 	"wagtailford.example/server/state/view"
 )
 
-// applyRecords applies records in order and publishes the result once.
-func (l *Loop) applyRecords(records []config.Record) {
-	state := l.state.Load()
-	before := state.Offset()
+// applyRecords applies records in order and publishes the result once. from is the peer that sent them, or FromSource.
+func (l *Loop) applyRecords(records []config.Record, from string) {
+	old := l.state.Load()
+	state := old
 	for _, r := range records {
 		if l.blockedAt != 0 && r.Offset > l.blockedAt {
 			break
@@ -34,19 +34,23 @@
 		}
 	}
 	l.state.Store(state)
-	if state.Offset() > before {
-		l.highestOffset = max(l.highestOffset, state.Offset())
+	if state.Offset() > old.Offset() {
+		l.recordInForce(old, state, from, time.Now())
+		l.heardOf(state.Offset())
 		l.publishView()
 		l.scheduleUpdates()
 	}
 }
 
-// install replaces the state by one with a higher offset, and reports whether it did.
-func (l *Loop) install(state *config.State) bool {
-	if state.Offset() <= l.state.Load().Offset() {
+// install replaces the state by one with a higher offset, and reports whether it did. from is the peer that sent it, or
+// FromSource.
+func (l *Loop) install(state *config.State, from string) bool {
+	old := l.state.Load()
+	if state.Offset() <= old.Offset() {
 		return false
 	}
 	l.state.Store(state)
+	l.recordInForce(old, state, from, time.Now())
 	if state.Offset() >= l.blockedAt {
 		l.blockedAt = 0
 		l.counter.blocked.Store(0)
@@ -55,7 +59,7 @@
 	if l.settings.SourceGrace > 0 {
 		l.delayed.add(state.Offset(), time.Now())
 	}
-	l.highestOffset = max(l.highestOffset, state.Offset())
+	l.heardOf(state.Offset())
 	l.updateReady()
 	l.publishView()
 	l.scheduleUpdates()
@@ -64,7 +68,7 @@
 
 // updateReady marks the node ready once it has reached the highest offset it was told of.
 func (l *Loop) updateReady() {
-	if l.ready || !l.contacted || l.state.Load().Offset() < l.highestOffset {
+	if l.ready || !l.contacted || l.state.Load().Offset() < l.highestOffset.Load() {
 		return
 	}
 	l.ready = true
@@ -184,6 +188,9 @@
 	v := &view.View{
 		Version:   state.Version(),
 		Offset:    state.Offset(),
+		Sequence:  state.Sequence(),
+		From:      l.inForce.from,
+		Since:     l.inForce.since,
 		Content:   state.Content(),
 		ByService: make(map[string][]*endpoint.Entry, len(state.Content().Services)),
 		Nodes:     make(map[string]*endpoint.Entry, len(all)),
--- a/server/coordination/control/bench_test.go
+++ b/server/coordination/control/bench_test.go
@@ -18,7 +18,7 @@
 	settings.Shape.RelayChildren = 24
 	l := New(settings, self)
 	for s := range uint64(services) {
-		l.applyRecords([]config.Record{record(2*s + 1)})
+		l.applyRecords([]config.Record{record(2*s + 1)}, FromSource)
 	}
 	now := time.Now()
 	for d := range domains {
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -31,6 +31,8 @@
 	state   atomic.Pointer[config.State]
 	roles   atomic.Pointer[fanout.Roles]
 	contact atomic.Pointer[contact]
+	// highestOffset only grows, see HighestOffset.
+	highestOffset atomic.Uint64
 	// changed signals new views, updates signals changes that syncs may forward.
 	changed broadcast
 	updates broadcast
@@ -40,11 +42,12 @@
 	table            *endpoint.Table
 	window           window
 	installs         installs
+	inForce          inForce
+	rejections       rejections
 	clients          map[string]*client
 	watchedSince     map[string]time.Time
 	unreachableUntil map[string]time.Time
 	admission        *rate.Limiter
-	highestOffset    uint64
 	contacted        bool
 	ready            bool
 	started          time.Time
@@ -213,6 +216,10 @@
 // Run.
 func (l *Loop) OnSnapshotInstalled(f func(SnapshotInstall)) { l.notify.onSnapshotInstalled = f }
 
+// OnSnapshotRejected sets the function that is called after a complete state from a peer could not be decoded: once for each
+// peer and offset. It must be set before Run.
+func (l *Loop) OnSnapshotRejected(f func(SnapshotRejection)) { l.notify.onSnapshotRejected = f }
+
 // UpdateSelf changes the node's own entry on the control goroutine and raises its revision. Changes to the node name
 // and the key are discarded, except for the state. Maps and slices must be replaced, not modified, since views share
 // them. It has no effect if nothing changed or if the loop has stopped.
@@ -234,7 +241,7 @@
 func (l *Loop) DeliverRecords(records []config.Record) {
 	_ = l.do(context.Background(), func() {
 		l.contacted = true
-		l.applyRecords(records)
+		l.applyRecords(records, FromSource)
 		l.updateReady()
 	})
 }
@@ -243,7 +250,7 @@
 func (l *Loop) HighestSeen(offset uint64) {
 	_ = l.do(context.Background(), func() {
 		l.contacted = true
-		l.highestOffset = max(l.highestOffset, offset)
+		l.heardOf(offset)
 		l.updateReady()
 	})
 }
@@ -254,7 +261,7 @@
 	if err != nil {
 		return err
 	}
-	return l.do(context.Background(), func() { _ = l.install(state) })
+	return l.do(context.Background(), func() { _ = l.install(state, FromSource) })
 }
 
 // InstallWhole installs a configuration that was published as a complete document, if its offset is higher than the
@@ -268,7 +275,7 @@
 		l.contacted = true
 		// A publisher that restarts its sequence must not roll the fleet back.
 		if w.Sequence > l.state.Load().Sequence() {
-			l.install(state)
+			l.install(state, FromSource)
 		}
 		l.updateReady()
 	})
--- a/server/coordination/control/notify.go
+++ b/server/coordination/control/notify.go
@@ -31,12 +31,13 @@
 }
 
 // notifier calls the callbacks of a Loop on a goroutine of its own, so that a callback may call the Loop. Only the
-// newest value of each kind is kept, except for snapshot installs.
+// newest value of each kind is kept, except for snapshot installs and rejections.
 type notifier struct {
 	onRoles             func(fanout.Roles)
 	onDeclaredDead      func()
 	onAhead             func(fanout.Peer)
 	onSnapshotInstalled func(SnapshotInstall)
+	onSnapshotRejected  func(SnapshotRejection)
 
 	wake         chan struct{}
 	mu           sync.Mutex
@@ -44,6 +45,7 @@
 	declaredDead bool
 	ahead        *fanout.Peer
 	installed    []SnapshotInstall
+	rejected     []SnapshotRejection
 }
 
 func (n *notifier) init() { n.wake = make(chan struct{}, 1) }
@@ -67,14 +69,19 @@
 		case <-n.wake:
 		}
 		n.mu.Lock()
-		roles, dead, ahead, installed := n.roles, n.declaredDead, n.ahead, n.installed
-		n.roles, n.declaredDead, n.ahead, n.installed = nil, false, nil, nil
+		roles, dead, ahead, installed, rejected := n.roles, n.declaredDead, n.ahead, n.installed, n.rejected
+		n.roles, n.declaredDead, n.ahead, n.installed, n.rejected = nil, false, nil, nil, nil
 		n.mu.Unlock()
 		for _, i := range installed {
 			if n.onSnapshotInstalled != nil {
 				n.onSnapshotInstalled(i)
 			}
 		}
+		for _, r := range rejected {
+			if n.onSnapshotRejected != nil {
+				n.onSnapshotRejected(r)
+			}
+		}
 		if dead && n.onDeclaredDead != nil {
 			n.onDeclaredDead()
 		}
--- a/server/coordination/control/service.go
+++ b/server/coordination/control/service.go
@@ -74,11 +74,18 @@
 
 // DumpState is the state of the control goroutine for a dump.
 type DumpState struct {
-	Self          endpoint.Entry
-	Instance      int64
-	Offset        uint64
-	Version       uint64
+	Self     endpoint.Entry
+	Instance int64
+	Offset   uint64
+	Version  uint64
+	Sequence uint64
+	// From is the peer that sent the version in force, or FromSource; Since is when it came into force here.
+	From  string
+	Since time.Time
+	// HighestOffset is the highest offset that the source or any peer has stated, see Loop.HighestOffset.
 	HighestOffset uint64
+	// LastRejected is the last complete state from a peer that could not be decoded; nil if there was none.
+	LastRejected  *SnapshotRejection
 	Ready         bool
 	BlockedReason string
 	ContactAge    time.Duration
@@ -104,7 +111,11 @@
 			Instance:      l.instance,
 			Offset:        state.Offset(),
 			Version:       state.Version(),
-			HighestOffset: l.highestOffset,
+			Sequence:      state.Sequence(),
+			From:          l.inForce.from,
+			Since:         l.inForce.since,
+			HighestOffset: l.highestOffset.Load(),
+			LastRejected:  l.rejections.last,
 			Ready:         l.ready,
 			BlockedReason: state.BlockedReason(),
 			ContactAge:    l.ContactAge(),
--- a/server/coordination/control/settings.go
+++ b/server/coordination/control/settings.go
@@ -75,6 +75,8 @@
 	stale, blocked                                  atomic.Int64
 	suspected, declaredDead, refuted, parentChanges atomic.Int64
 	syncsFailed, views, expired                     atomic.Int64
+	snapshotsReceived, snapshotsRejected            atomic.Int64
+	snapshotBytesReceived, snapshotBytesSent        atomic.Int64
 }
 
 // CounterValues is a copy of the counters; all but Blocked count events since the start.
@@ -88,6 +90,11 @@
 	Suspected, DeclaredDead, Refuted int64
 	ParentChanges, SyncsFailed       int64
 	ViewsPublished, EntriesExpired   int64
+	// SnapshotsReceived counts complete states in replies to polls of this node, SnapshotsRejected those of them that
+	// could not be decoded; the latter are also among SyncsFailed.
+	SnapshotsReceived, SnapshotsRejected int64
+	// SnapshotBytesReceived and SnapshotBytesSent are bytes of compressed states in SnapshotsReceived and SnapshotsServed.
+	SnapshotBytesReceived, SnapshotBytesSent int64
 }
 
 // Counters returns the current values.
@@ -111,6 +118,11 @@
 		SyncsFailed:       c.syncsFailed.Load(),
 		ViewsPublished:    c.views.Load(),
 		EntriesExpired:    c.expired.Load(),
+
+		SnapshotsReceived:     c.snapshotsReceived.Load(),
+		SnapshotsRejected:     c.snapshotsRejected.Load(),
+		SnapshotBytesReceived: c.snapshotBytesReceived.Load(),
+		SnapshotBytesSent:     c.snapshotBytesSent.Load(),
 	}
 }
 
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -99,7 +99,7 @@
 
 // pullFromAhead requests a sync in the other direction if the poller has a higher offset.
 func (l *Loop) pullFromAhead(args *wire.SyncArgs) {
-	l.highestOffset = max(l.highestOffset, args.Offset)
+	l.heardOf(args.Offset)
 	if args.Offset <= l.state.Load().Offset() {
 		return
 	}
@@ -177,6 +177,7 @@
 		return
 	}
 	l.counter.snapshots.Add(1)
+	l.counter.snapshotBytesSent.Add(int64(len(snapshot)))
 	reply.Snapshot = snapshot
 }
 
@@ -206,7 +207,7 @@
 	c.openPolls--
 	c.lastHeard = now
 	reply.ParentInstance = l.instance
-	reply.HighestOffset = l.highestOffset
+	reply.HighestOffset = l.highestOffset.Load()
 	reply.Ready = l.ready
 	reply.ContactAgeMS = l.ContactAge().Milliseconds()
 	reply.HeldMS = now.Sub(received).Milliseconds()
@@ -258,14 +259,15 @@
 
 func (l *Loop) applyReply(in fanout.SyncResult, now time.Time) {
 	reply := in.Reply
+	from := cmp.Or(in.From.Node, in.From.Address)
 	for _, e := range reply.Entries {
-		l.mergeEntry(e, cmp.Or(in.From.Node, in.From.Address), now)
+		l.mergeEntry(e, from, now)
 	}
-	l.highestOffset = max(l.highestOffset, reply.HighestOffset)
-	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot) {
-		l.reportSnapshotInstall(cmp.Or(in.From.Node, in.From.Address), now)
+	l.heardOf(reply.HighestOffset)
+	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot, from, now) {
+		l.reportSnapshotInstall(from, now)
 	}
-	l.applyRecords(reply.Records)
+	l.applyRecords(reply.Records, from)
 	// A parent that is not ready may itself have missed versions.
 	if reply.Ready {
 		l.contacted = true
@@ -277,19 +279,24 @@
 }
 
 // installSnapshot decodes and installs a snapshot that a parent sent, and reports whether its offset was higher than the
-// current one. One that cannot be decoded is ignored; the offset does not advance, so the next poll requests it again.
-func (l *Loop) installSnapshot(data []byte) bool {
-	data, err := decompress(data)
+// current one. One that cannot be decoded is counted, reported and otherwise ignored; the offset does not advance, so the
+// next poll requests it again.
+func (l *Loop) installSnapshot(received []byte, from string, now time.Time) bool {
+	l.counter.snapshotsReceived.Add(1)
+	l.counter.snapshotBytesReceived.Add(int64(len(received)))
+	data, err := decompress(received)
 	if err != nil {
-		l.counter.syncsFailed.Add(1)
+		l.rejectSnapshot(SnapshotRejection{From: from, Bytes: len(received), Error: err.Error()}, now)
 		return false
 	}
 	state, err := config.DecodeSnapshot(data)
 	if err != nil {
-		l.counter.syncsFailed.Add(1)
+		l.rejectSnapshot(SnapshotRejection{
+			From: from, Offset: offsetOfRejected(data), Bytes: len(received), DecompressedBytes: len(data), Error: err.Error(),
+		}, now)
 		return false
 	}
-	return l.install(state)
+	return l.install(state, from)
 }
 
 // recordReplyContact records the contact that a reply proves, and the parent that sent it.
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -5,6 +5,8 @@
 	"net/rpc"
 	"time"
 
+	"github.com/apex/log"
+
 	"wagtailford.example/server/coordination/control"
 	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/membership"
@@ -128,6 +130,24 @@
 	c.control.OnRolesChanged(hooks.rolesChanged)
 	c.control.OnPeerAhead(c.syncer.Pull)
 	c.control.OnDeclaredDead(hooks.declaredDead)
+	c.control.OnSnapshotRejected(logSnapshotRejection)
+}
+
+// logSnapshotRejection logs a configuration that a peer sent and that cannot be decoded. The follower logs those that
+// this node reads itself.
+func logSnapshotRejection(r control.SnapshotRejection) {
+	log.WithFields(rejectionFields(r)).Warn("configuration from a peer rejected")
+}
+
+func rejectionFields(r control.SnapshotRejection) log.Fields {
+	fields := log.Fields{
+		"event": "configuration_rejected", "from": r.From, "bytes": r.Bytes, "decompressed_bytes": r.DecompressedBytes,
+		"error": r.Error, "in_force": r.Version, "sequence_in_force": r.Sequence, "newest": r.HighestSeen,
+	}
+	if r.Offset != 0 {
+		fields["version"] = r.Offset
+	}
+	return fields
 }
 
 // serveRPC sets up the server for other nodes with the receivers of its services.
--- a/server/state/view/view.go
+++ b/server/state/view/view.go
@@ -3,6 +3,8 @@
 package view
 
 import (
+	"time"
+
 	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
 )
@@ -12,7 +14,13 @@
 	// Version is the accepted configuration version in force.
 	Version config.Version
 	// Offset is the last log offset folded.
-	Offset  uint64
+	Offset uint64
+	// Sequence is the publisher's number of the version in force; 0 if it was not published as a whole.
+	Sequence uint64
+	// From names the peer that sent the version in force, or says that the node read it itself; empty if there is none.
+	From string
+	// Since is when the version came into force on this node; zero if there is none.
+	Since   time.Time
 	Content *config.Content
 	// ByService lists the entries with a target, sorted by node, for every service that the content names.
 	ByService map[string][]*endpoint.Entry
