Say in a no_route line what the route was looked up in

A request refused for want of a route stated only the version, which does not tell a node that is behind from wrong content or a failed match.

Change: such a line has host and path as matched (the path without the query, at most 512 bytes), offset, sequence, in_force_ms, from, routes and newest, the highest offset heard of. Other requests get none of these fields; the trace keeps a pointer to the view, which the request holds anyway.

--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"wagtailford.example/server/coordination/retry"
@@ -30,6 +31,12 @@
 	Timeout time.Duration
 }
 
+// MatchedPath returns the part of the path that routes are matched with: all before the query, as the caller sent it.
+func (r *Request) MatchedPath() string {
+	path, _, _ := strings.Cut(r.Path, "?")
+	return path
+}
+
 // Result is the response returned to the caller.
 type Result struct {
 	Outcome outcome.Outcome
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,8 +98,8 @@
 		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonNotReady, RetryAfter: notReadyRetryAfter}
 	}
 	trace.Version = v.Version
-	path, _, _ := strings.Cut(r.Path, "?")
-	route, ok := routing.MatchHost(v.Content, r.Host, path)
+	trace.View = v
+	route, ok := routing.MatchHost(v.Content, r.Host, r.MatchedPath())
 	if !ok {
 		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonNoRoute}
 	}
--- a/server/coordination/dispatch/trace.go
+++ b/server/coordination/dispatch/trace.go
@@ -14,6 +14,7 @@
 	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/state/ratelimit"
+	"wagtailford.example/server/state/view"
 )
 
 // Trace records how a request was dispatched, for logs and counters.
@@ -23,7 +24,9 @@
 	Started  time.Time
 	Duration time.Duration
 	// Version is the configuration version used to route the request; 0 if there was none.
-	Version        config.Version
+	Version config.Version
+	// View is what the route was looked up in; nil if the request was refused before.
+	View           *view.View
 	Route, Service string
 	Attempts       []Attempt
 	// BudgetExhausted is true if the retry limit did not permit another attempt.
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -110,7 +110,7 @@
 	debug.SetGCPercent(collectPercentMin)
 	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p, sourceReader: newSourceReader()}
 	h.live.Store(s)
-	h.observer = newObserver(log.Log)
+	h.observer = newObserver(log.Log, func() uint64 { return h.control.HighestOffset() })
 	h.listeners = &listeners{}
 	steps := []func() error{
 		func() error { return h.listeners.openAll(s.Listen) }, h.buildControl, h.buildExecutor, h.buildDispatch, h.buildServers,
--- a/server/daemon/observer.go
+++ b/server/daemon/observer.go
@@ -15,10 +15,14 @@
 type observer struct {
 	logger  log.Interface
 	limiter *rate.Limiter
+	// highestOffset returns the highest offset that the node has heard of.
+	highestOffset func() uint64
 }
 
-func newObserver(logger log.Interface) *observer {
-	return &observer{logger: logger, limiter: rate.NewLimiter(logging.EventMax, logging.EventMax)}
+func newObserver(logger log.Interface, highestOffset func() uint64) *observer {
+	return &observer{
+		logger: logger, limiter: rate.NewLimiter(logging.EventMax, logging.EventMax), highestOffset: highestOffset,
+	}
 }
 
 // Events of a request. They have limits of their own, so that many served requests leave room for those that failed.
@@ -52,6 +56,9 @@
 	if t.BudgetExhausted {
 		fields["budget"] = "exhausted"
 	}
+	if t.Result.Reason == outcome.ReasonNoRoute && t.View != nil {
+		o.addLookup(fields, t)
+	}
 	attempts := make([]string, 0, len(t.Attempts))
 	for i := range t.Attempts {
 		attempts = append(attempts, t.Attempts[i].String())
@@ -60,6 +67,25 @@
 	o.logger.WithFields(fields).Info("request ended")
 }
 
+// loggedPathMax limits the bytes of a path in a line.
+const loggedPathMax = 512
+
+// addLookup adds what a route was looked up by and in, so that a node that lacks the newest configuration can be told
+// from a match that failed.
+func (o *observer) addLookup(fields log.Fields, t *dispatch.Trace) {
+	v := t.View
+	path := t.Request.MatchedPath()
+	fields["host"] = t.Request.Host
+	fields["path"] = path[:min(len(path), loggedPathMax)]
+	fields["path_bytes"] = len(path)
+	fields["offset"] = v.Offset
+	fields["sequence"] = v.Sequence
+	fields["from"] = v.From
+	fields["in_force_ms"] = t.Started.Sub(v.Since).Milliseconds()
+	fields["routes"] = len(v.Content.Routes)
+	fields["newest"] = o.highestOffset()
+}
+
 // served reports whether a line about a request that was served would be written. Making one costs more than most of
 // what else a node does for a request, so it is asked first.
 func (o *observer) served() bool {
