--- a/server/state/config/codec.go
+++ b/server/state/config/codec.go
@@ -39,8 +39,11 @@
 // Shape limits of encoded data, checked before it is decoded: the decoder allocates by announced length and
 // skips unknown values recursively.
 const (
-	maxNesting  = 10
-	maxElements = 4096
+	maxNesting = 10
+	// maxChangeElements and maxSnapshotElements limit the elements of one array or map. checkWholeSize keeps every
+	// configuration that is published complete within the latter.
+	maxChangeElements   = 4096
+	maxSnapshotElements = 1 << 16
 )
 
 // EncodeChange returns the record data of a change: a mark, the rule version, then the change as a map with sorted
@@ -73,7 +76,7 @@
 		return Change{}, &TooLargeError{Bytes: len(data), Max: limits.MaxRecordBytes}
 	}
 	c := Change{}
-	if err := decode(body, &c); err != nil {
+	if err := decode(body, &c, maxChangeElements); err != nil {
 		return Change{}, err
 	}
 	c.Rule = rule
@@ -111,8 +114,8 @@
 }
 
 // decode reads exactly one value without unknown fields.
-func decode(data []byte, v any) error {
-	if err := checkShape(data); err != nil {
+func decode(data []byte, v any, maxElements int) error {
+	if err := checkShape(data, maxElements); err != nil {
 		return fmt.Errorf("%w: %w", ErrUndecodable, err)
 	}
 	d := msgpack.NewDecoder(bytes.NewReader(data))
@@ -124,12 +127,12 @@
 }
 
 // checkShape returns an error unless data is exactly one map within the shape limits.
-func checkShape(data []byte) error {
+func checkShape(data []byte, maxElements int) error {
 	if len(data) == 0 || !isMap(data[0]) {
 		return errors.New("not a map")
 	}
 	r := bytes.NewReader(data)
-	if err := checkValue(msgpack.NewDecoder(r), 0); err != nil {
+	if err := checkValue(msgpack.NewDecoder(r), 0, maxElements); err != nil {
 		return err
 	}
 	if r.Len() > 0 {
@@ -138,7 +141,7 @@
 	return nil
 }
 
-func checkValue(d *msgpack.Decoder, depth int) error {
+func checkValue(d *msgpack.Decoder, depth, maxElements int) error {
 	code, err := d.PeekCode()
 	if err != nil {
 		return err
@@ -160,7 +163,7 @@
 		return errors.New("nested too deeply or too many elements")
 	}
 	for range n {
-		if err := checkValue(d, depth+1); err != nil {
+		if err := checkValue(d, depth+1, maxElements); err != nil {
 			return err
 		}
 	}
--- a/server/state/config/snapshot.go
+++ b/server/state/config/snapshot.go
@@ -13,8 +13,9 @@
 // snapshotFormat is the version of the encoding of snapshots.
 const snapshotFormat = 1
 
-// MaxSnapshotBytes bounds an encoded snapshot; the windows and limits of the rules keep snapshots below it.
-const MaxSnapshotBytes = 2 << 20
+// MaxSnapshotBytes bounds an encoded snapshot. The windows and limits of the rules, and checkWholeSize for configurations
+// that are published complete, keep snapshots below it.
+const MaxSnapshotBytes = 4 << 20
 
 // snapshot is the encoded form of a state.
 type snapshot struct {
@@ -100,7 +101,7 @@
 		return nil, err
 	}
 	in := snapshot{}
-	if err := decode(body, &in); err != nil {
+	if err := decode(body, &in, maxSnapshotElements); err != nil {
 		return nil, err
 	}
 	if err := checkSnapshot(offset, &in); err != nil {
--- a/server/state/config/whole.go
+++ b/server/state/config/whole.go
@@ -47,13 +47,28 @@
 	return fmt.Sprintf("configuration %d is invalid: %s", e.Sequence, e.Detail)
 }
 
+// OversizeError means that a published configuration is larger than a node may hold, because it could not be passed on to
+// other nodes.
+type OversizeError struct {
+	Sequence uint64
+	Detail   string
+}
+
+func (e *OversizeError) Error() string {
+	return fmt.Sprintf("configuration %d is too large: %s", e.Sequence, e.Detail)
+}
+
 // Sequence returns the publisher's number of a configuration that was installed whole; 0 if there is none.
 func (s *State) Sequence() uint64 { return s.sequence }
 
-// FromWhole returns the state that a published configuration leads to, or an *InvalidError. The limits of the rule
-// version do not apply, since the source does not know them.
+// FromWhole returns the state that a published configuration leads to, or an *InvalidError or *OversizeError. The limits of
+// the rule version do not apply, since the source does not know them, but DecodeSnapshot accepts the snapshot of every state
+// that FromWhole returns.
 func FromWhole(w *Whole) (*State, error) {
 	content := sorted(&w.Content)
+	if detail := checkWholeSize(content); detail != "" {
+		return nil, &OversizeError{Sequence: w.Sequence, Detail: detail}
+	}
 	if detail := checkWhole(content); detail != "" {
 		return nil, &InvalidError{Sequence: w.Sequence, Detail: detail}
 	}
@@ -117,3 +132,43 @@
 	}
 	return ""
 }
+
+// Upper bounds, in bytes, of what a snapshot holds beside what contentSize counts.
+const (
+	wholeOverhead        = 512
+	wholeServiceOverhead = 16
+	wholeRouteOverhead   = 40
+)
+
+// checkWholeSize returns how a content exceeds what a snapshot may hold, or "".
+func checkWholeSize(c *Content) string {
+	if n := max(len(c.Services), len(c.Routes)); n > maxSnapshotElements {
+		return fmt.Sprintf("%d routes or services, at most %d", n, maxSnapshotElements)
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		elements := max(len(r.Destinations), len(r.IdempotentMethods))
+		for j := range r.Destinations {
+			elements = max(elements, 2*len(r.Destinations[j].Labels))
+		}
+		if elements > maxSnapshotElements {
+			return fmt.Sprintf("route %s: %d elements in a list, at most %d", r.Name, elements, maxSnapshotElements)
+		}
+	}
+	if size := wholeSize(c); size > MaxSnapshotBytes {
+		return fmt.Sprintf("%d bytes, at most %d", size, MaxSnapshotBytes)
+	}
+	return ""
+}
+
+// wholeSize returns an upper bound of the size of the snapshot of a content in bytes.
+func wholeSize(c *Content) int {
+	size := wholeOverhead + contentSize(c)
+	for i := range c.Services {
+		size += wholeServiceOverhead + len(c.Services[i].HealthPath)
+	}
+	for i := range c.Routes {
+		size += wholeRouteOverhead + len(c.Routes[i].Host)
+	}
+	return size
+}
--- a/server/state/config/whole_test.go
+++ b/server/state/config/whole_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 func wholeContent() Content {
@@ -84,3 +87,67 @@
 	assert.Equal(t, copied.Offset(), uint64(9))
 	assert.Equal(t, copied.Sequence(), uint64(4))
 }
+
+// assertPassable checks that another node installs what FromWhole accepted.
+func assertPassable(t assert.TestingT, state *State) {
+	data, err := state.EncodeSnapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= MaxSnapshotBytes, "%d bytes", len(data))
+	copied, err := DecodeSnapshot(data)
+	assert.NilError(t, err)
+	assert.Equal(t, copied.Offset(), state.Offset())
+	assert.Equal(t, len(copied.Content().Routes), len(state.Content().Routes))
+}
+
+func fromRoutes(routes int, host string) (*State, error) {
+	content := wholeContent()
+	content.Routes = nil
+	for i := range routes {
+		content.Routes = append(content.Routes, Route{
+			Name: fmt.Sprint(i), Host: host, Caller: AnyCaller, PathPrefix: fmt.Sprintf("/%d/", i), Timeout: time.Second,
+			MaxAttempts: 1, Destinations: []Destination{{Service: "orders", Weight: 1}},
+		})
+	}
+	return FromWhole(&Whole{Offset: 9, Sequence: 4, Content: content})
+}
+
+// Guards against a configuration that is installed where it is read and refused by every other node: whatever the number
+// and length of its parts, FromWhole either refuses it, or its snapshot can be decoded.
+func TestWhatIsInstalledCanBePassedOn(t *testing.T) {
+	for _, host := range []string{"h", strings.Repeat("h", 250)} {
+		largest := 0
+		for routes := 1; routes <= 1<<17; routes *= 2 {
+			state, err := fromRoutes(routes, host)
+			var oversize *OversizeError
+			if err != nil {
+				assert.Assert(t, errors.As(err, &oversize), "%v", err)
+				continue
+			}
+			assertPassable(t, state)
+			largest = routes
+		}
+		assert.Assert(t, largest >= 8192, "%d", largest)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		text := func(name string) string { return rapid.StringN(0, -1, 400).Draw(t, name) }
+		number := func(name string) uint32 { return rapid.Uint32().Draw(t, name) }
+		content := Content{Services: []Service{{Name: "s" + text("service"), HealthPath: text("health"), ConnectionsMax: number("connections")}}}
+		for i := range rapid.IntRange(0, 20).Draw(t, "routes") {
+			content.Routes = append(content.Routes, Route{
+				Name: text("name"), Host: "h" + text("host"), Caller: AnyCaller, PathPrefix: fmt.Sprintf("/%d%s/", i, text("prefix")),
+				Timeout: time.Duration(1 + rapid.Int64Range(0, 1<<62).Draw(t, "timeout")), MaxAttempts: 1 + number("attempts")/2,
+				Priority: number("priority"), LatencyObjective: time.Duration(rapid.Int64().Draw(t, "objective")), Repetition: NonIdempotent,
+				Destinations: []Destination{
+					{Service: content.Services[0].Name, Weight: number("weight")},
+					{Service: content.Services[0].Name, Weight: number("weight")},
+				},
+			})
+		}
+		state, err := FromWhole(&Whole{Offset: 9, Sequence: 4, TimeMS: rapid.Int64().Draw(t, "time"), Content: content})
+		assert.NilError(t, err)
+		data, err := state.EncodeSnapshot()
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) <= wholeSize(state.Content()), "%d bytes of at most %d", len(data), wholeSize(state.Content()))
+		assertPassable(t, state)
+	})
+}
--- a/server/transport/peer/peer.go
+++ b/server/transport/peer/peer.go
@@ -44,7 +44,7 @@
 // DefaultLimits are the limits of a node's traffic connections.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxMessageBytes:  4 << 20,
+		MaxMessageBytes:  8 << 20,
 		MaxConnections:   2048,
 		MaxPending:       1024,
 		DialTimeout:      time.Second,
