Do not send a state again with each poll of a node that rejected it

Cause: a poll is answered at once if the poller has a lower offset. A node that cannot decode the state keeps its offset and polls again. Change: the poll names the offset of the state that was rejected, for 5 s, and the reply leaves that state out; entries and newer states are sent as before. A node of an older build ignores the new field.

--- a/server/coordination/control/inforce.go
+++ b/server/coordination/control/inforce.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"time"
 
 	"wagtailford.example/server/state/config"
@@ -53,6 +54,10 @@
 	At          time.Time
 }
 
+// rejectedRetryInterval is how long a rejected state is not requested again. Every poll would bring it otherwise, and a
+// rejection can only pass when the peer is replaced.
+const rejectedRetryInterval = 5 * time.Second
+
 // rejectionsMax bounds the peers and offsets of rejected states that are remembered.
 const rejectionsMax = 256
 
@@ -62,6 +67,15 @@
 	last     *SnapshotRejection
 }
 
+// offset returns the offset of the last rejected state until it is requested again; 0 after that.
+func (r *rejections) offset(now time.Time) uint64 {
+	if r.last == nil || now.Sub(r.last.At) >= rejectedRetryInterval {
+		return 0
+	}
+	// The peer cannot have sent a state above the highest offset that it has stated.
+	return cmp.Or(r.last.Offset, r.last.HighestSeen)
+}
+
 type rejectionKey struct {
 	from   string
 	offset uint64
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -138,10 +138,11 @@
 	if !waitsForSource(args) {
 		passable = l.state.Load().Offset()
 	}
+	newer := max(args.Offset, args.Rejected) < passable
 	if args.StateOnly {
-		return args.Offset < passable
+		return newer
 	}
-	return args.Offset < passable || len(l.delta(args, l.publishedSequence).Entries) > 0
+	return newer || len(l.delta(args, l.publishedSequence).Entries) > 0
 }
 
 // waitsForSource reports whether a poller is given time to read a new state from the source itself. A poller
@@ -156,6 +157,9 @@
 		reply.Entries = delta.Entries
 		reply.TableSequence = delta.Sequence
 	}
+	if args.Rejected >= l.state.Load().Offset() {
+		return
+	}
 	if !waitsForSource(args) || args.Offset < l.forwardableOffset(time.Now()) {
 		l.fillRecords(args.Offset, reply)
 	}
@@ -227,6 +231,7 @@
 			Version:     state.Version(),
 			Ready:       l.ready,
 			Reads:       l.roles.Load().ReadsLog,
+			Rejected:    l.rejections.offset(time.Now()),
 			Entry:       l.self,
 		}
 		delta := l.table.Select(acknowledged, l.publishedSequence, replyEntriesMax, l.forwardsToParent)
@@ -279,8 +284,8 @@
 }
 
 // installSnapshot decodes and installs a snapshot that a parent sent, and reports whether its offset was higher than the
-// current one. One that cannot be decoded is counted, reported and otherwise ignored; the offset does not advance, so the
-// next poll requests it again.
+// current one. One that cannot be decoded is counted, reported and otherwise ignored; polls
+// request it again after rejectedRetryInterval.
 func (l *Loop) installSnapshot(received []byte, from string, now time.Time) bool {
 	l.counter.snapshotsReceived.Add(1)
 	l.counter.snapshotBytesReceived.Add(int64(len(received)))
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -120,6 +120,7 @@
 		Version:     out.Version,
 		Ready:       out.Ready,
 		Reads:       out.Reads,
+		Rejected:    out.Rejected,
 		Peer:        isLimited(relation),
 	}
 	if relation == ToFailover {
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -49,6 +49,8 @@
 	Ready       bool
 	// Reads is true if the node reads the configuration from its source itself.
 	Reads bool
+	// Rejected is the offset of a state that the node could not decode a short time ago.
+	Rejected uint64
 	// Entry is the node's own entry.
 	Entry endpoint.Entry
 	// Entries are the entries to forward that changed after the requested sequence number, without the node's own
