Read the source on a node that lacks a configuration known to exist

Cause: a node without the role of a reader has its peers only. Change: a node that has not reached, within 1 s, an offset that it has heard of reads the store itself until it has, like the first reader of its failure domain, and logs this (configuration_lag).

--- a/server/coordination/control/liveness.go
+++ b/server/coordination/control/liveness.go
@@ -28,6 +28,7 @@
 	l.evaluateNodes(now)
 	l.expire(now)
 	l.updateRoles(now)
+	l.updateLag(now)
 }
 
 // compensatePause moves the times of last contact forward by the time during which this process did not run.
@@ -38,6 +39,7 @@
 	for node, since := range l.watchedSince {
 		l.watchedSince[node] = since.Add(pause)
 	}
+	l.lag.since = l.lag.since.Add(pause)
 }
 
 // evaluateNodes decides on the liveness of the nodes that this node watches.
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -44,6 +44,7 @@
 	installs         installs
 	inForce          inForce
 	rejections       rejections
+	lag              lagTracker
 	clients          map[string]*client
 	watchedSince     map[string]time.Time
 	unreachableUntil map[string]time.Time
@@ -220,6 +221,10 @@
 // peer and offset. It must be set before Run.
 func (l *Loop) OnSnapshotRejected(f func(SnapshotRejection)) { l.notify.onSnapshotRejected = f }
 
+// OnLag sets the function that is called when the node begins or ceases to lag, with the newest state. It must be set before
+// Run.
+func (l *Loop) OnLag(f func(Lag)) { l.notify.onLag = f }
+
 // UpdateSelf changes the node's own entry on the control goroutine and raises its revision. Changes to the node name
 // and the key are discarded, except for the state. Maps and slices must be replaced, not modified, since views share
 // them. It has no effect if nothing changed or if the loop has stopped.
--- a/server/coordination/control/notify.go
+++ b/server/coordination/control/notify.go
@@ -38,6 +38,7 @@
 	onAhead             func(fanout.Peer)
 	onSnapshotInstalled func(SnapshotInstall)
 	onSnapshotRejected  func(SnapshotRejection)
+	onLag               func(Lag)
 
 	wake         chan struct{}
 	mu           sync.Mutex
@@ -46,6 +47,7 @@
 	ahead        *fanout.Peer
 	installed    []SnapshotInstall
 	rejected     []SnapshotRejection
+	lag          *Lag
 }
 
 func (n *notifier) init() { n.wake = make(chan struct{}, 1) }
@@ -69,8 +71,8 @@
 		case <-n.wake:
 		}
 		n.mu.Lock()
-		roles, dead, ahead, installed, rejected := n.roles, n.declaredDead, n.ahead, n.installed, n.rejected
-		n.roles, n.declaredDead, n.ahead, n.installed, n.rejected = nil, false, nil, nil, nil
+		roles, dead, ahead, installed, rejected, lag := n.roles, n.declaredDead, n.ahead, n.installed, n.rejected, n.lag
+		n.roles, n.declaredDead, n.ahead, n.installed, n.rejected, n.lag = nil, false, nil, nil, nil, nil
 		n.mu.Unlock()
 		for _, i := range installed {
 			if n.onSnapshotInstalled != nil {
@@ -91,6 +93,9 @@
 		if ahead != nil && n.onAhead != nil {
 			n.onAhead(*ahead)
 		}
+		if lag != nil && n.onLag != nil {
+			n.onLag(*lag)
+		}
 	}
 }
 
--- a/server/coordination/control/settings.go
+++ b/server/coordination/control/settings.go
@@ -60,6 +60,9 @@
 	// SourceGrace is how long peers have to read a new state from the source themselves before it is forwarded to
 	// them; 0 forwards it at once. Where every node reads the source, peers need it only if they lost the source.
 	SourceGrace time.Duration
+	// LagLimit is the time after which a node that lacks a configuration which it knows to exist reports that it lags; 0
+	// means never.
+	LagLimit time.Duration
 	// ProbeInactive makes this node probe nodes that left, and dead nodes of other failure domains, to detect their
 	// return. A node that starts while the source and the directory are unavailable is found only that way.
 	ProbeInactive bool
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -44,6 +44,8 @@
 	startGrace time.Duration
 	// sourceGrace is how long peers are given to read a new state from its source themselves.
 	sourceGrace time.Duration
+	// lagLimit is the time after which a node reports that it lacks a configuration which it knows to exist; 0 means never.
+	lagLimit time.Duration
 	// probeGone makes the node look for others that are gone, probeInterval is the mean time between two looks.
 	probeGone     bool
 	probeInterval time.Duration
@@ -107,6 +109,7 @@
 		DeltaWindowRecords: s.Log.DeltaWindowRecords,
 		StartGrace:         hooks.startGrace,
 		SourceGrace:        hooks.sourceGrace,
+		LagLimit:           hooks.lagLimit,
 		ProbeInactive:      hooks.probeGone,
 		Drain:              hooks.drain,
 		DumpJSON:           hooks.dump,
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -68,6 +68,9 @@
 	// sourceGrace is the time within which other nodes are expected to read a new configuration themselves. It covers a
 	// slow store. Nodes that are partitioned from the store get the configuration from peers after this time.
 	sourceGrace = 800 * time.Millisecond
+	// sourceLagLimit is the time after which a node that lacks a configuration which others have reads the store itself. A
+	// node that reads the store gets it from peers after sourceGrace.
+	sourceLagLimit = time.Second
 	// goneProbeInterval is the mean interval at which a node probes members that are dead or left. All nodes probe, so a member
 	// that has returned is found within some tenths of a second.
 	goneProbeInterval = 250 * time.Millisecond
@@ -100,6 +103,8 @@
 	// live holds the settings including those that were reloaded since the start.
 	live    atomic.Pointer[settings.Settings]
 	closing atomic.Bool
+	// lagging is true while the node lacks a configuration that it knows to exist.
+	lagging atomic.Bool
 	// work waits for the goroutines that end with the node's context.
 	work sync.WaitGroup
 }
@@ -128,6 +133,7 @@
 func (h *Hosted) buildControl() error {
 	h.core.buildControl(controlHooks{
 		sourceGrace:   sourceGrace,
+		lagLimit:      sourceLagLimit,
 		probeGone:     true,
 		probeInterval: goneProbeInterval,
 		hold:          h.settings.Fanout.SyncHold,
@@ -138,6 +144,7 @@
 		declaredDead:  func() { log.WithField("event", "declared_dead").Warn("this node was declared dead by others") },
 	})
 	h.control.OnSnapshotInstalled(logSnapshotInstall)
+	h.control.OnLag(h.lagChanged)
 	h.follower = follow.NewSourceFollower(h.platform.Source(), h.control, follow.SourceFollowerSettings{
 		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, CoalesceDelay: sourceCoalesceDelay,
 	}, log.Log)
@@ -146,13 +153,39 @@
 
 func (h *Hosted) rolesChanged(r fanout.Roles) {
 	h.syncer.SetRoles(r)
-	h.follower.SetRank(r.Rank)
 	h.sourceReader.setAssigned(r.ReadsLog)
+	h.sourceRank()
 	log.WithFields(log.Fields{
 		"event": "roles", "follower": r.Follower, "relay": r.Relay, "rank": r.Rank, "parent": r.Parent().Node,
 	}).Info("roles changed")
 }
 
+// lagChanged makes a node that lacks a configuration read the source itself until it has it, whatever keeps the peers from
+// passing it on.
+func (h *Hosted) lagChanged(l control.Lag) {
+	h.lagging.Store(l.Active)
+	h.sourceReader.setLagging(l.Active)
+	h.sourceRank()
+	entry := log.WithFields(log.Fields{
+		"event": "configuration_lag", "active": l.Active, "version": l.Version, "newest": l.Target,
+		"lag_ms": time.Since(l.Since).Milliseconds(),
+	})
+	if l.Active {
+		entry.Warn("configuration known to exist has not arrived from peers; reading the source")
+		return
+	}
+	entry.Info("configuration has caught up")
+}
+
+// sourceRank sets how the source is read: a node that lags reads like the first reader of its failure domain.
+func (h *Hosted) sourceRank() {
+	rank := h.control.Roles().Rank
+	if h.lagging.Load() {
+		rank = 0
+	}
+	h.follower.SetRank(rank)
+}
+
 // logSnapshotInstall logs a configuration that a peer sent. The follower logs those that this node reads itself.
 func logSnapshotInstall(i control.SnapshotInstall) {
 	log.WithFields(log.Fields{
--- a/server/daemon/source_reader.go
+++ b/server/daemon/source_reader.go
@@ -13,7 +13,8 @@
 // a restarted fleet has to serve again.
 const firstReadWait = 1200 * time.Millisecond
 
-// sourceReader is the task of reading the configuration from its source. A starting node does not know its role yet. If
+// sourceReader is the task of reading the configuration from its source. Nodes with the role for it read, and any node that
+// lags. A starting node does not know its role yet. If
 // every starting node read at once, the number of calls to the store after a restart would grow with the fleet.
 type sourceReader struct {
 	*roleTask
@@ -21,6 +22,8 @@
 	mu sync.Mutex
 	// assigned is true if the current roles include the task.
 	assigned bool
+	// lagging is true if peers have not passed on a configuration that exists.
+	lagging bool
 	// followsRoles is false until the node knows which other nodes read.
 	followsRoles bool
 }
@@ -36,8 +39,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.assigned = assigned
+	r.update()
+}
+
+// setLagging sets whether the node lacks a configuration that it knows to exist.
+func (r *sourceReader) setLagging(lagging bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lagging = lagging
+	r.update()
+}
+
+// update starts or stops the task. The caller holds the lock.
+func (r *sourceReader) update() {
 	if r.followsRoles {
-		r.set(assigned)
+		r.set(r.assigned || r.lagging)
 	}
 }
 
@@ -47,7 +63,7 @@
 	defer r.mu.Unlock()
 	if !r.followsRoles {
 		r.followsRoles = true
-		r.set(r.assigned)
+		r.update()
 	}
 }
 
--- a/server/daemon/source_reader_test.go
+++ b/server/daemon/source_reader_test.go
@@ -66,3 +66,35 @@
 		assert.Equal(t, len(started), 0)
 	}
 }
+
+// Guards against a node that lacks a configuration which its peers do not pass on, and that does not read the source because
+// its roles do not include this.
+func TestLaggingNodeReadsTheSource(t *testing.T) {
+	r := newSourceReader()
+	r.setAssigned(false)
+	r.followRoles()
+	ctx, cancel := context.WithCancel(t.Context())
+	started, stopped := make(chan struct{}), make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.run(ctx, func(ctx context.Context) {
+			started <- struct{}{}
+			<-ctx.Done()
+			stopped <- struct{}{}
+		})
+	}()
+	r.setLagging(true)
+	<-started
+	r.setAssigned(true)
+	r.setLagging(false)
+	select {
+	case <-stopped:
+		t.Fatal("a node that is a reader by its roles stopped reading")
+	default:
+	}
+	r.setAssigned(false)
+	<-stopped
+	cancel()
+	<-ended
+}
