Do not deny a route at a node that knows of a newer configuration

Cause: a node said 404 from whatever configuration it had, although it had heard of a newer one that may have the route (the lines of the refused requests: version 2 in force, newest 4). Change: such a node refuses with 503 (configuration_behind) and Retry-After 0.3 s, on a platform and with a log service. 404 is left to nodes that have the newest configuration they know of. The body of a refusal names the reason, as before.

--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -27,6 +27,10 @@
 // another process.
 const shutdownRetryAfter = 100 * time.Millisecond
 
+// behindRetryAfter is the retry delay returned while a newer configuration may have a route for the request. Most nodes have
+// it within a few hundred milliseconds.
+const behindRetryAfter = 300 * time.Millisecond
+
 // Handler dispatches requests. It is safe for concurrent use.
 type Handler struct {
 	settings  Settings
@@ -100,6 +104,9 @@
 	trace.Version = v.Version
 	trace.View = v
 	route, ok := routing.MatchHost(v.Content, r.Host, r.MatchedPath())
+	if !ok && h.isBehind(v) {
+		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonBehind, RetryAfter: behindRetryAfter}
+	}
 	if !ok {
 		return &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonNoRoute}
 	}
@@ -155,6 +162,12 @@
 	return result
 }
 
+// isBehind reports whether the node knows of a newer configuration than that of the view. Callers do not repeat a request
+// whose route does not exist, so this is only said by a node that has the newest configuration it knows of.
+func (h *Handler) isBehind(v *view.View) bool {
+	return h.deps.NewestOffset != nil && h.deps.NewestOffset() > v.Offset
+}
+
 // requestKind returns an identifier by which target nodes distinguish the requests of different routes.
 func requestKind(route *config.Route) uint32 { return uint32(xxhash.Sum64String(route.Name)) }
 
--- a/server/coordination/ingress/fault_test.go
+++ b/server/coordination/ingress/fault_test.go
@@ -34,6 +34,8 @@
 	name    string
 	request *Request
 	view    *view.View
+	// newest is the offset of the newest configuration that is known to exist.
+	newest  uint64
 	react   []reply
 	resolve func(*wire.Request) (*wire.Response, error)
 	want    string
@@ -70,6 +72,8 @@
 	{name: "oversized header", request: request("GET", "X", strings.Repeat("x", 20<<10)), want: "refused-not-run/header_too_large", status: 431},
 	{name: "oversized body", request: &Request{Method: "PUT", RoutePath: "/shop", Path: "/shop", Body: make([]byte, 2<<20)}, want: "refused-not-run/too_large", status: 413},
 	{name: "unknown route", request: &Request{Method: "GET", RoutePath: "/shopping", Path: "/shopping"}, want: "refused-not-run/no_route", status: 404},
+	{name: "no route in an outdated configuration", request: &Request{Method: "GET", RoutePath: "/shopping", Path: "/shopping"}, newest: 99, want: "refused-not-run/configuration_behind", status: 503},
+	{name: "caller key, no route in an outdated configuration", request: &Request{Method: "POST", RoutePath: "/none", Path: "/none", Headers: []wire.Header{{Name: "idempotency-key", Value: "k1"}}}, newest: 99, want: "unknown/configuration_behind", status: 504},
 	{name: "deadline passed", request: request("POST", "Wagtail-Deadline-Ms", "0"), want: "refused-not-run/deadline", status: 503},
 	{name: "depth exceeded", request: request("GET", "Wagtail-Depth", "16"), want: "refused-not-run/depth_exceeded", status: 503},
 	{name: "no attempt left", request: request("GET", "Wagtail-Attempts", "0"), want: "refused-not-run/attempts_exhausted", status: 503},
@@ -82,7 +86,9 @@
 		t.Run(fault.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeNet{view: fault.view, react: replySequence(fault.react...), resolve: fault.resolve}
-				h := newTestHandler(t, f, nil)
+				h := newTestHandler(t, f, func(_ *Settings, d *Dependencies) {
+					d.NewestOffset = func() uint64 { return fault.newest }
+				})
 				defer h.Shutdown(context.Background())
 				result := h.Do(t.Context(), fault.request)
 				assert.Equal(t, describe(result), fault.want)
--- a/server/coordination/ingress/request.go
+++ b/server/coordination/ingress/request.go
@@ -51,6 +51,9 @@
 		return nil, refuse(outcome.ReasonNotReady)
 	}
 	route, ok := routing.Match(v.Content, r.header(HeaderCaller), r.RoutePath)
+	if !ok && h.deps.NewestOffset != nil && h.deps.NewestOffset() > v.Offset {
+		return nil, refuse(outcome.ReasonBehind)
+	}
 	if !ok {
 		return nil, refuse(outcome.ReasonNoRoute)
 	}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -304,6 +304,7 @@
 		RetryLimit:      retryLimit(s),
 	}, dispatch.Dependencies{
 		View:           h.control.View,
+		NewestOffset:   h.control.HighestOffset,
 		Call:           h.trafficPool.Call,
 		Local:          h.executor.Execute,
 		CallerService:  h.registrar.Service,
--- a/server/daemon/observer.go
+++ b/server/daemon/observer.go
@@ -56,7 +56,7 @@
 	if t.BudgetExhausted {
 		fields["budget"] = "exhausted"
 	}
-	if t.Result.Reason == outcome.ReasonNoRoute && t.View != nil {
+	if (t.Result.Reason == outcome.ReasonNoRoute || t.Result.Reason == outcome.ReasonBehind) && t.View != nil {
 		o.addLookup(fields, t)
 	}
 	attempts := make([]string, 0, len(t.Attempts))
--- a/server/protocol/outcome/outcome.go
+++ b/server/protocol/outcome/outcome.go
@@ -81,6 +81,9 @@
 	ReasonRateLimited Reason = "rate_limited"
 	// ReasonTargetReplaced means that another instance answers at the address of the target.
 	ReasonTargetReplaced Reason = "target_replaced"
+	// ReasonBehind means that the configuration in force has no route for the request, and that the node knows of a newer
+	// configuration, which may have one.
+	ReasonBehind Reason = "configuration_behind"
 	// ReasonBodyNotReceived means that the body of the request did not reach the executing node.
 	ReasonBodyNotReceived Reason = "body_not_received"
 )
