--- a/server/coordination/control/notify.go
+++ b/server/coordination/control/notify.go
@@ -31,12 +31,14 @@
 }
 
 // notifier calls the callbacks of a Loop on a goroutine of its own, so that a callback may call the Loop. Only the
-// newest value of each kind is kept, except for snapshot installs.
+// newest value of each kind is kept, except for snapshot installs and rejections.
 type notifier struct {
 	onRoles             func(fanout.Roles)
 	onDeclaredDead      func()
 	onAhead             func(fanout.Peer)
 	onSnapshotInstalled func(SnapshotInstall)
+	onSnapshotRejected  func(SnapshotRejection)
+	onLag               func(Lag)
 
 	wake         chan struct{}
 	mu           sync.Mutex
@@ -44,6 +46,8 @@
 	declaredDead bool
 	ahead        *fanout.Peer
 	installed    []SnapshotInstall
+	rejected     []SnapshotRejection
+	lag          *Lag
 }
 
 func (n *notifier) init() { n.wake = make(chan struct{}, 1) }
@@ -67,14 +71,19 @@
 		case <-n.wake:
 		}
 		n.mu.Lock()
-		roles, dead, ahead, installed := n.roles, n.declaredDead, n.ahead, n.installed
-		n.roles, n.declaredDead, n.ahead, n.installed = nil, false, nil, nil
+		roles, dead, ahead, installed, rejected, lag := n.roles, n.declaredDead, n.ahead, n.installed, n.rejected, n.lag
+		n.roles, n.declaredDead, n.ahead, n.installed, n.rejected, n.lag = nil, false, nil, nil, nil, nil
 		n.mu.Unlock()
 		for _, i := range installed {
 			if n.onSnapshotInstalled != nil {
 				n.onSnapshotInstalled(i)
 			}
 		}
+		for _, r := range rejected {
+			if n.onSnapshotRejected != nil {
+				n.onSnapshotRejected(r)
+			}
+		}
 		if dead && n.onDeclaredDead != nil {
 			n.onDeclaredDead()
 		}
@@ -84,6 +93,9 @@
 		if ahead != nil && n.onAhead != nil {
 			n.onAhead(*ahead)
 		}
+		if lag != nil && n.onLag != nil {
+			n.onLag(*lag)
+		}
 	}
 }
 
--- a/server/coordination/control/settings.go
+++ b/server/coordination/control/settings.go
@@ -60,6 +60,9 @@
 	// SourceGrace is how long peers have to read a new state from the source themselves before it is forwarded to
 	// them; 0 forwards it at once. Where every node reads the source, peers need it only if they lost the source.
 	SourceGrace time.Duration
+	// LagLimit is the time after which a node that lacks a configuration which it knows to exist reports that it lags; 0
+	// means never.
+	LagLimit time.Duration
 	// ProbeInactive makes this node probe nodes that left, and dead nodes of other failure domains, to detect their
 	// return. A node that starts while the source and the directory are unavailable is found only that way.
 	ProbeInactive bool
@@ -75,6 +78,8 @@
 	stale, blocked                                  atomic.Int64
 	suspected, declaredDead, refuted, parentChanges atomic.Int64
 	syncsFailed, views, expired                     atomic.Int64
+	snapshotsReceived, snapshotsRejected            atomic.Int64
+	snapshotBytesReceived, snapshotBytesSent        atomic.Int64
 }
 
 // CounterValues is a copy of the counters; all but Blocked count events since the start.
@@ -88,6 +93,11 @@
 	Suspected, DeclaredDead, Refuted int64
 	ParentChanges, SyncsFailed       int64
 	ViewsPublished, EntriesExpired   int64
+	// SnapshotsReceived counts complete states in replies to polls of this node, SnapshotsRejected those of them that
+	// could not be decoded; the latter are also among SyncsFailed.
+	SnapshotsReceived, SnapshotsRejected int64
+	// SnapshotBytesReceived and SnapshotBytesSent are bytes of compressed states in SnapshotsReceived and SnapshotsServed.
+	SnapshotBytesReceived, SnapshotBytesSent int64
 }
 
 // Counters returns the current values.
@@ -111,6 +121,11 @@
 		SyncsFailed:       c.syncsFailed.Load(),
 		ViewsPublished:    c.views.Load(),
 		EntriesExpired:    c.expired.Load(),
+
+		SnapshotsReceived:     c.snapshotsReceived.Load(),
+		SnapshotsRejected:     c.snapshotsRejected.Load(),
+		SnapshotBytesReceived: c.snapshotBytesReceived.Load(),
+		SnapshotBytesSent:     c.snapshotBytesSent.Load(),
 	}
 }
 
--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -5,6 +5,8 @@
 	"net/rpc"
 	"time"
 
+	"github.com/apex/log"
+
 	"wagtailford.example/server/coordination/control"
 	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/membership"
@@ -42,6 +44,8 @@
 	startGrace time.Duration
 	// sourceGrace is how long peers are given to read a new state from its source themselves.
 	sourceGrace time.Duration
+	// lagLimit is the time after which a node reports that it lacks a configuration which it knows to exist; 0 means never.
+	lagLimit time.Duration
 	// probeGone makes the node look for others that are gone, probeInterval is the mean time between two looks.
 	probeGone     bool
 	probeInterval time.Duration
@@ -105,6 +109,7 @@
 		DeltaWindowRecords: s.Log.DeltaWindowRecords,
 		StartGrace:         hooks.startGrace,
 		SourceGrace:        hooks.sourceGrace,
+		LagLimit:           hooks.lagLimit,
 		ProbeInactive:      hooks.probeGone,
 		Drain:              hooks.drain,
 		DumpJSON:           hooks.dump,
@@ -128,6 +133,24 @@
 	c.control.OnRolesChanged(hooks.rolesChanged)
 	c.control.OnPeerAhead(c.syncer.Pull)
 	c.control.OnDeclaredDead(hooks.declaredDead)
+	c.control.OnSnapshotRejected(logSnapshotRejection)
+}
+
+// logSnapshotRejection logs a configuration that a peer sent and that cannot be decoded. The follower logs those that
+// this node reads itself.
+func logSnapshotRejection(r control.SnapshotRejection) {
+	log.WithFields(rejectionFields(r)).Warn("configuration from a peer rejected")
+}
+
+func rejectionFields(r control.SnapshotRejection) log.Fields {
+	fields := log.Fields{
+		"event": "configuration_rejected", "from": r.From, "bytes": r.Bytes, "decompressed_bytes": r.DecompressedBytes,
+		"error": r.Error, "in_force": r.Version, "sequence_in_force": r.Sequence, "newest": r.HighestSeen,
+	}
+	if r.Offset != 0 {
+		fields["version"] = r.Offset
+	}
+	return fields
 }
 
 // serveRPC sets up the server for other nodes with the receivers of its services.
