Make the stand-in store keep the sizes of the platform's store

Cause: the stand-in limited a page of newest records to 500 items but not to 1 MB, and took records of any size, so no test met a page that ends early because of a large configuration, nor a record that is refused (record-bytes 262,144).

Change: newest records stop at 1 MB, appends refuse records above record-bytes, and Faults.Large chooses what a page holds of a record larger than itself, on which PROTOCOL.md says nothing.

--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -36,15 +37,19 @@
 	Delay time.Duration
 	// LoseAnswers is the share of appends that are done and not answered.
 	LoseAnswers float64
+	// Large is what pages hold of records that are larger than a page.
+	Large Large
 	// StaleNewest answers calls for the newest records as of the last call of FreezeNewest.
 	StaleNewest bool
 }
 
 // Limits of a store, as the platform states them.
 const (
-	pageItems    = 500
-	bodyMax      = 2 << 20
-	readKBMax    = 1024
+	newestItems  = 500
+	newestBytes  = 1_000_000
+	recordMax    = 262_144
+	callMax      = 2_097_152
+	readKB       = 1024
 	readWaitMax  = 30 * time.Second
 	silentAnswer = time.Hour
 )
@@ -94,8 +99,12 @@
 }
 
 // PublishConfig appends a configuration as the operator does, and returns its offset.
-func (s *Store) PublishConfig(data []byte) uint64 {
-	offset, _, _ := s.Topics.append("keyed.op/0", [][]byte{KeyedRecord("config", data)}, appendIf{})
+func (s *Store) PublishConfig(data []byte) uint64 { return s.AppendRecord("keyed.op", "config", data) }
+
+// AppendRecord appends a record of the platform or of another program, which may be larger than those of a call, and returns
+// its offset.
+func (s *Store) AppendRecord(topic, key string, value []byte) uint64 {
+	offset, _, _ := s.Topics.append(topic+"/0", [][]byte{KeyedRecord(key, value)}, appendIf{})
 	return offset
 }
 
@@ -104,7 +113,7 @@
 
 // FreezeNewest keeps the newest records of a topic as they are, for Faults.StaleNewest.
 func (s *Store) FreezeNewest(topic string) {
-	items, more, end := s.Topics.latest(topic+"/0", "", pageItems)
+	items, more, end := s.Topics.latest(topic+"/0", "", s.pageOf(newestBytes))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.frozen = map[string]newestAnswer{topic + "/0": {items, more, end}}
@@ -120,6 +129,9 @@
 	return f
 }
 
+// pageOf returns a page of at most the given number of bytes.
+func (s *Store) pageOf(bytes int) pageSize { return pageSize{bytes: bytes, large: s.current("").Large} }
+
 func (s *Store) loses(share float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,9 +180,9 @@
 }
 
 func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, callMax))
 	records, ok := splitRecords(body)
-	if err != nil || !ok {
+	if err != nil || !ok || slices.ContainsFunc(records, func(r []byte) bool { return len(r) > recordMax }) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -199,11 +211,11 @@
 	from, _ := strconv.ParseUint(query.Get("from"), 10, 64)
 	waitMS, _ := strconv.Atoi(query.Get("wait-ms"))
 	wait := min(time.Duration(waitMS)*time.Millisecond, readWaitMax)
-	limit := readKBMax
+	limit := readKB
 	if kb, err := strconv.Atoi(query.Get("max-kb")); err == nil {
 		limit = kb
 	}
-	body, gone := s.Topics.read(partitionName(r), from, limit<<10, wait, r.Context().Done())
+	body, gone := s.Topics.read(partitionName(r), from, s.pageOf(limit<<10), wait, r.Context().Done())
 	if gone {
 		w.WriteHeader(http.StatusGone)
 		return
@@ -212,7 +224,7 @@
 }
 
 func (s *Store) handleNewest(w http.ResponseWriter, r *http.Request) {
-	items, more, end := s.Topics.latest(partitionName(r), r.URL.Query().Get("after"), pageItems)
+	items, more, end := s.Topics.latest(partitionName(r), r.URL.Query().Get("after"), s.pageOf(newestBytes))
 	answer := newestAnswer{items, more, end}
 	s.mu.Lock()
 	if stale, ok := s.frozen[partitionName(r)]; ok && s.faults.StaleNewest {
--- a/standin/platform/topics.go
+++ b/standin/platform/topics.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"encoding/base64"
 	"encoding/binary"
 	"errors"
 	"slices"
@@ -115,15 +116,15 @@
 	p.records = nil
 }
 
-// read returns the encoded records from an offset on, at least one and no more than fit into limit bytes. If there are
-// none it waits at most for wait. gone is true if the records were dropped.
-func (t *topics) read(name string, from uint64, limit int, wait time.Duration, cancel <-chan struct{}) (body []byte, gone bool) {
+// read returns the encoded records from an offset on, no more than fit into a page. If there are none it waits at most for
+// wait. gone is true if the records were dropped.
+func (t *topics) read(name string, from uint64, size pageSize, wait time.Duration, cancel <-chan struct{}) (body []byte, gone bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		t.mu.Lock()
 		p := t.part(name)
-		body, gone = p.encode(from, limit)
+		body, gone = p.encode(from, size)
 		ready := gone || p.end() > from
 		changed := p.changed
 		t.mu.Unlock()
@@ -140,22 +141,44 @@
 	}
 }
 
-func (p *partition) encode(from uint64, limit int) (body []byte, gone bool) {
+func (p *partition) encode(from uint64, size pageSize) (body []byte, gone bool) {
 	if from < p.first {
 		return nil, true
 	}
 	body = binary.BigEndian.AppendUint64(nil, p.end())
 	body = binary.BigEndian.AppendUint64(body, p.first)
 	for i, r := range p.records[min(from-p.first, uint64(len(p.records))):] {
-		if i > 0 && len(body)+len(r) > limit {
-			break
+		encoded := append(binary.BigEndian.AppendUint32(nil, uint32(len(r))), r...)
+		if len(body)+len(encoded) <= size.bytes || i == 0 && size.large == LargeWhole {
+			body = append(body, encoded...)
+			continue
 		}
-		body = binary.BigEndian.AppendUint32(body, uint32(len(r)))
-		body = append(body, r...)
+		if size.large == LargeCut {
+			body = append(body, encoded[:max(0, size.bytes-len(body))]...)
+		}
+		break
 	}
 	return body, false
 }
 
+// Large is what a page holds of a record that is larger than a page, on which the platform's pages say nothing.
+type Large int
+
+const (
+	// LargeWhole sends such a record on a page of its own.
+	LargeWhole Large = iota
+	// LargeCut ends a page of a read within the record, at the size of a page. Newest records come whole.
+	LargeCut
+	// LargeLeftOut ends any page before the record.
+	LargeLeftOut
+)
+
+// pageSize limits a page.
+type pageSize struct {
+	bytes int
+	large Large
+}
+
 // keyed is one item of the newest records.
 type keyed struct {
 	Key    string `json:"key"`
@@ -163,8 +186,8 @@
 	Offset uint64 `json:"offset"`
 }
 
-// latest returns a page of the newest records after a key.
-func (t *topics) latest(name, after string, limit int) (items []keyed, more bool, end uint64) {
+// latest returns a page of the newest records after a key. Its size is that of the encoded values.
+func (t *topics) latest(name, after string, size pageSize) (items []keyed, more bool, end uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.part(name)
@@ -174,8 +197,13 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b keyed) int { return strings.Compare(a.Key, b.Key) })
-	if len(items) > limit {
-		return items[:limit], true, p.end()
+	total := 0
+	for i, item := range items {
+		total += len(item.Key) + base64.StdEncoding.EncodedLen(len(item.Value))
+		isFirstWhole := i == 0 && size.large != LargeLeftOut
+		if i >= newestItems || total > size.bytes && !isFirstWhole {
+			return items[:i], true, p.end()
+		}
 	}
 	return items, false, p.end()
 }
