Keep the weights of all routes when more than 4,096 are in use

Cause: the splitter tracked the positions of 4,096 routes and dropped all of them when one more came. With more routes in use than that, positions were drawn anew all the time, and shares became those of random draws.

Change: the limit is above the routes of any configuration in use (32,768, some 3 MB if all are in use at one node), and at the limit one entry gives way instead of all.

--- a/server/coordination/routing/split.go
+++ b/server/coordination/routing/split.go
@@ -12,8 +12,9 @@
 // by a fifth.
 const goldenRatioStep = math.Phi - 1
 
-// trackedRoutesMax limits the routes whose position is tracked; all positions are dropped when it is reached.
-const trackedRoutesMax = 4096
+// trackedRoutesMax limits the routes whose position is tracked; it is above the routes of any configuration in use. Beyond it, any
+// position gives way to a new one.
+const trackedRoutesMax = 32768
 
 // Splitter distributes the requests of each route over its destinations by weight. It is safe for concurrent use.
 type Splitter struct {
@@ -43,9 +44,7 @@
 	defer s.mu.Unlock()
 	position, known := s.positions[route]
 	if !known {
-		if len(s.positions) >= trackedRoutesMax {
-			clear(s.positions)
-		}
+		makeRoom(s.positions, trackedRoutesMax)
 		position = float64(s.random()>>11) / (1 << 53)
 	}
 	_, position = math.Modf(position + goldenRatioStep)
@@ -53,6 +52,18 @@
 	return position
 }
 
+// makeRoom removes any one entry of a map that has reached its limit. To remove all would forget what is in use as soon as the limit
+// is below it.
+func makeRoom[K comparable, V any](m map[K]V, limit int) {
+	if len(m) < limit {
+		return
+	}
+	for key := range m {
+		delete(m, key)
+		return
+	}
+}
+
 // DestinationAt returns the destination whose interval of the cumulative weights contains a position in [0, 1).
 func DestinationAt(route *config.Route, position float64) *config.Destination {
 	var total uint64
