Learn of all routes which nodes are full and how long they take

Cause: the tracker kept statistics of the first 256 request kinds of a node, and the mean service times of the first 256 kinds of all, for the life of the process. Of any later route it never learned that a node had refused a request as full, nor any mean service time, so the node was asked again at once and its targets counted as free of cost.

Change: at the limit of a node, the kind that was heard of least recently among eight gives way; mean service times have the limit of the splitter, which is above the routes of a configuration.

Result: TestTrackerLearnsOfManyRoutes failed at kind 256 (full until 0) and passes with 6,000.

--- a/server/coordination/routing/many_routes_test.go
+++ b/server/coordination/routing/many_routes_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,3 +41,20 @@
 	}
 	assert.Equal(t, off, 0, "routes whose share is off by more than %v", tolerance)
 }
+
+// Guards against a node that refused a request as full and is asked for the same route again at once, and against service
+// times that are not learned, because the routes that were used first take all places.
+func TestTrackerLearnsOfManyRoutes(t *testing.T) {
+	tracker := NewTracker(DefaultSettings())
+	const wait, service = 100 * time.Millisecond, 20 * time.Millisecond
+	nowMS := int64(1_800_000_000_000)
+	for kind := range uint32(manyRoutes) {
+		nowMS++
+		tracker.EndWithReport(tracker.Begin("n", nowMS), Neutral, &Report{Kind: kind, Full: true, Wait: wait, ServiceTime: service}, nowMS)
+		stat := tracker.StatOf("n", kind, nowMS)
+		assert.Equal(t, stat.FullUntilMS, nowMS+wait.Milliseconds(), "kind %d", kind)
+		assert.Equal(t, stat.ServiceTime, service, "kind %d", kind)
+		assert.Equal(t, tracker.StatOf("other", kind, nowMS).ServiceTime, time.Duration(unreportedShare*float64(service)), "kind %d", kind)
+	}
+	assert.Assert(t, len(tracker.nodes["n"].kinds) <= trackedKindsMax)
+}
--- a/server/coordination/routing/tracker.go
+++ b/server/coordination/routing/tracker.go
@@ -44,8 +44,12 @@
 	reportedMS int64
 }
 
-// trackedKindsMax limits the request kinds that are distinguished at one node.
-const trackedKindsMax = 256
+const (
+	// trackedKindsMax limits the request kinds that are distinguished at one node.
+	trackedKindsMax = 256
+	// comparedKinds is the number of kinds of which the one that was heard of least recently gives way to a new one.
+	comparedKinds = 8
+)
 
 const (
 	// reportHalfLife is the time in which the difference between the service time that a node reported and the average
@@ -79,15 +83,17 @@
 	case service <= 0:
 	case seen:
 		t.meanServiceTimes[kind] = known + time.Duration(serviceTimeWeight*float64(service-known))
-	case len(t.meanServiceTimes) < trackedKindsMax:
+	default:
+		makeRoom(t.meanServiceTimes, trackedRoutesMax)
 		t.meanServiceTimes[kind] = service
 	}
 }
 
-// setKind stores the statistics of a request kind.
+// setKind stores the statistics of a request kind. At the limit, an older kind gives way: the routes that were used first may
+// not be in use any more.
 func (o *nodeObservations) setKind(kind uint32, next kindStats) {
 	if _, known := o.kinds[kind]; !known && len(o.kinds) >= trackedKindsMax {
-		return
+		o.removeOldKind()
 	}
 	if o.kinds == nil {
 		o.kinds = make(map[uint32]kindStats)
@@ -95,6 +101,22 @@
 	o.kinds[kind] = next
 }
 
+// removeOldKind removes the kind that was heard of least recently among a few.
+func (o *nodeObservations) removeOldKind() {
+	var oldest uint32
+	var oldestMS int64
+	compared := 0
+	for kind, s := range o.kinds {
+		if heardMS := max(s.reportedMS, s.fullUntilMS); compared == 0 || heardMS < oldestMS {
+			oldest, oldestMS = kind, heardMS
+		}
+		if compared++; compared == comparedKinds {
+			break
+		}
+	}
+	delete(o.kinds, oldest)
+}
+
 // Stat returns the statistics of a node without those that depend on the request kind.
 func (t *Tracker) Stat(node string) NodeStats {
 	t.mu.Lock()
