Keep what is known of full domains at the limit

Cause: at 1,024 pairs of failure domain and request kind, a refusal dropped all pairs, even one of a pair that was tracked already.

Change: only a new pair needs room, and one pair gives way to it.

Result: TestFullDomainsOfManyRoutes failed at the first repeated refusal and passes. Packages routing, dispatch and policysim pass with -race.

--- a/server/coordination/routing/domains.go
+++ b/server/coordination/routing/domains.go
@@ -8,8 +8,7 @@
 const (
 	// refusalsUntilFull is the number of consecutive refusals after which a failure domain counts as full.
 	refusalsUntilFull = 2
-	// domainKindsMax limits the tracked pairs of failure domain and request kind; all entries are dropped when it is
-	// reached.
+	// domainKindsMax limits the tracked pairs of failure domain and request kind. Beyond it, any pair gives way to a new one.
 	domainKindsMax = 1024
 )
 
@@ -40,10 +39,13 @@
 		delete(d.kinds, key)
 		return
 	}
-	if d.kinds == nil || len(d.kinds) >= domainKindsMax {
+	if d.kinds == nil {
 		d.kinds = make(map[domainKind]domainState)
 	}
-	state := d.kinds[key]
+	state, known := d.kinds[key]
+	if !known {
+		makeRoom(d.kinds, domainKindsMax)
+	}
 	state.refusals++
 	if state.refusals >= refusalsUntilFull {
 		state.fullUntilMS = (&Report{Full: true, Wait: wait}).fullUntilMS(nowMS)
--- a/server/coordination/routing/many_routes_test.go
+++ b/server/coordination/routing/many_routes_test.go
@@ -58,3 +58,16 @@
 	}
 	assert.Assert(t, len(tracker.nodes["n"].kinds) <= trackedKindsMax)
 }
+
+// Guards against a full failure domain that is forgotten at the limit because it is found full again.
+func TestFullDomainsOfManyRoutes(t *testing.T) {
+	var full FullDomains
+	const nowMS = 1_800_000_000_000
+	for kind := range uint32(domainKindsMax) {
+		full.Record("d", kind, true, time.Second, nowMS)
+	}
+	for kind := range uint32(domainKindsMax) {
+		full.Record("d", kind, true, time.Second, nowMS)
+		assert.Assert(t, full.IsFull("d", kind, nowMS), "kind %d", kind)
+	}
+}
