Notice an overload that affects more than 1,024 routes

Cause: the refused shares of 1,024 request kinds were tracked and all dropped when one more came. If more routes than that were refused, none ever counted as overloaded.

Change: the limit is above the routes of any configuration in use (32,768, less than 1 MB).

--- a/server/coordination/retry/returns.go
+++ b/server/coordination/retry/returns.go
@@ -49,8 +49,9 @@
 	// overloadShare is the refused share of the new requests above which only about one in six of the callers that return
 	// at once is served in time.
 	overloadShare = 0.35
-	// refusalKindsMax limits the kinds that are tracked; at the limit all are dropped.
-	refusalKindsMax = 1024
+	// refusalKindsMax limits the kinds that are tracked; it is above the routes of any configuration in use. At the limit all are
+	// dropped.
+	refusalKindsMax = 32768
 )
 
 // RefusedShares tracks which share of the new requests of each kind is refused. The zero value is ready to use; it is
