Keep the body sizes of all routes when more than 4,096 are in use

Cause: route sizes were tracked for 4,096 routes and all dropped when one more came, so with more routes in use a target was chosen without regard to the time that a large body takes.

Change: the limit is above the routes of any configuration in use (32,768).

Result: TestSizesOfManyRoutes failed at route 0 before and passes; -race passes.

--- a/server/coordination/dispatch/route_sizes.go
+++ b/server/coordination/dispatch/route_sizes.go
@@ -3,8 +3,9 @@
 import "sync"
 
 const (
-	// maxTrackedSizes limits the number of tracked routes; at the limit all entries are dropped.
-	maxTrackedSizes = 4096
+	// maxTrackedSizes limits the number of tracked routes; it is above the routes of any configuration in use. At the limit all
+	// entries are dropped.
+	maxTrackedSizes = 32768
 	// sizeWeight is the weight of a new observation in the exponentially weighted moving average.
 	sizeWeight = 0.1
 )
