Judge the writing of a reply by its progress

Cause: a server gave a reply up unless the whole of it was written within 2 s, while its client takes arriving bytes for a sign of life.

Change: each part of 32 KiB of a reply has to be written within the timeout. Requests keep the bound for the whole, since their caller waits while they are written.

--- a/server/transport/peer/codec.go
+++ b/server/transport/peer/codec.go
@@ -166,6 +166,19 @@
 	pending chan struct{}
 }
 
+// replyPartBytes is how much of a reply has to be written within Limits.WriteTimeout.
+const replyPartBytes = 32 << 10
+
+func newServerCodec(conn net.Conn, limits Limits, counter *Counters) *serverCodec {
+	stream := newMessageStream(conn, limits, counter)
+	// A client closes a connection that is idle for IdleTimeout, so twice that means that it is gone.
+	stream.readTimeout = 2 * limits.IdleTimeout
+	// A client takes arriving bytes for a sign of life. If the server asked for the whole frame in time, a large one would be sent
+	// again and again on a narrow link. A request is given up sooner, since its caller waits while it is written.
+	stream.writer.partBytes = replyPartBytes
+	return &serverCodec{messageStream: stream, pending: make(chan struct{}, limits.MaxPending)}
+}
+
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	if err := c.nextMessage(); err != nil {
 		return io.EOF
--- a/server/transport/peer/frame.go
+++ b/server/transport/peer/frame.go
@@ -62,6 +62,8 @@
 	timeout time.Duration
 	max     int
 	counter *Counters
+	// partBytes is how much has to be written within the timeout; 0 for the whole frame.
+	partBytes int
 }
 
 // write sends one frame. The payload must start with frameHeaderBytes spare bytes.
@@ -74,17 +76,28 @@
 	binary.BigEndian.PutUint32(frame[1:], uint32(size))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for len(frame) > 0 {
+		part := frame
+		if w.partBytes > 0 {
+			part = frame[:min(w.partBytes, len(frame))]
+		}
+		if err := w.writePart(part); err != nil {
+			// The other end never acts on a partial frame, so a failed write is a request that was not sent.
+			w.conn.Close()
+			return &NotSentError{Cause: err}
+		}
+		frame = frame[len(part):]
+	}
+	return nil
+}
+
+func (w *frameWriter) writePart(part []byte) error {
 	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
-		return &NotSentError{Cause: err}
+		return err
 	}
-	n, err := w.conn.Write(frame)
+	n, err := w.conn.Write(part)
 	w.counter.bytesSent.Add(int64(n))
-	if err != nil {
-		// The other end never acts on a partial frame, so a failed write is a request that was not sent.
-		w.conn.Close()
-		return &NotSentError{Cause: err}
-	}
-	return nil
+	return err
 }
 
 // control sends a frame without payload.
--- a/server/transport/peer/peer.go
+++ b/server/transport/peer/peer.go
@@ -28,7 +28,8 @@
 	MaxPending       int
 	DialTimeout      time.Duration
 	HandshakeTimeout time.Duration
-	WriteTimeout     time.Duration
+	// WriteTimeout is how long a request may take to be written, or a part of a reply.
+	WriteTimeout time.Duration
 	// PingInterval is how long a client with pending calls waits for a frame before it sends a ping.
 	PingInterval time.Duration
 	// PingTimeout is how long after a ping without a frame new calls use another connection. Pending calls keep theirs
--- a/server/transport/peer/server.go
+++ b/server/transport/peer/server.go
@@ -80,13 +80,7 @@
 	s.counter.opened.Add(1)
 	s.counter.open.Add(1)
 	defer s.counter.open.Add(-1)
-	stream := newMessageStream(conn, s.limits, &s.counter)
-	// A client closes a connection that is idle for IdleTimeout, so twice that means that it is gone.
-	stream.readTimeout = 2 * s.limits.IdleTimeout
-	s.rpc.ServeCodec(&serverCodec{
-		messageStream: stream,
-		pending:       make(chan struct{}, s.limits.MaxPending),
-	})
+	s.rpc.ServeCodec(newServerCodec(conn, s.limits, &s.counter))
 }
 
 // Close closes every connection and waits for the handlers that serve them. The listener is the caller's to close.
