Let wagtailctl show a configuration of any size in use

Cause: a gRPC client refuses responses above 4 MiB unless told otherwise, while nodes install published configurations of any size. 5,333 and 20,000 routes are below that; 60,000 are not.

Change: wagtailctl takes responses up to 64 MiB.

Result: TestShowOfManyRoutes/60000 failed before ("received message larger than max (5400026 vs. 4194304)") and passes; so do its cases of 5,333 and 20,000 routes, before and after.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -15,6 +15,10 @@
 	pb "wagtailford.example/api/wagtailford/v1"
 )
 
+// messageMax limits a response, in bytes. Nodes limit neither the routes of a configuration that was published whole nor their
+// responses, and the default of 4 MiB ends at about 45,000 routes.
+const messageMax = 64 << 20
+
 // Options say how to reach a daemon.
 type Options struct {
 	// Server is the host:port of the operator listener.
@@ -50,7 +54,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := grpc.NewClient("passthrough:///"+options.Server, grpc.WithTransportCredentials(creds))
+	conn, err := grpc.NewClient("passthrough:///"+options.Server, grpc.WithTransportCredentials(creds),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageMax)))
 	if err != nil {
 		return nil, fmt.Errorf("set up connection to %s: %w", options.Server, err)
 	}
