Bound the entries of a message between nodes in bytes

Cause: a reply held up to 4,096 entries of any size. After many crashes an entry carries 48 counts and 64 clearances, and with 2,048 nodes the table no longer fitted into a message: the reply to a node that joins closed the connection, at every parent, without a log line, so that it could never join.

Change: a message holds at most 1 MiB of entries by an upper bound of their encoding, at least one; the next poll gets the rest, as it did above 4,096. A reply that leaves entries out still holds that of the poller, since a reply proves contact and so must include any verdict on it.

TestDeltasReproduceTheTable now draws a bound in bytes too.

--- a/server/coordination/control/settings.go
+++ b/server/coordination/control/settings.go
@@ -21,8 +21,9 @@
 	viewInterval = 20 * time.Millisecond
 	// commandQueue is the number of commands that may be queued for the control goroutine.
 	commandQueue = 256
-	// replyEntriesMax and replyRecordBytes keep a sync reply below message_max.
+	// replyEntriesMax, replyEntryBytes and replyRecordBytes keep a sync reply below message_max.
 	replyEntriesMax  = 4096
+	replyEntryBytes  = 1 << 20
 	replyRecordBytes = 1 << 20
 	// windowBytesMax bounds the records kept for deltas.
 	windowBytesMax = 8 << 20
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// replyBounds limit the entries in one message.
+var replyBounds = endpoint.Bounds{Entries: replyEntriesMax, Bytes: replyEntryBytes}
+
 // delta returns the entries that the poller lacks, up to a sequence number of the table.
 func (l *Loop) delta(args *wire.SyncArgs, upTo uint64) endpoint.Delta {
 	sequence := args.TableSequence
@@ -129,7 +132,7 @@
 		sequence = 0
 	}
 	notFrom := func(origin string) bool { return origin != args.Node }
-	return l.table.Select(sequence, upTo, replyEntriesMax, notFrom)
+	return l.table.Select(sequence, upTo, replyBounds, notFrom)
 }
 
 // hasUpdates reports whether the poller lacks anything that may be forwarded to it already.
@@ -156,6 +159,9 @@
 		delta := l.delta(args, l.table.Sequence())
 		reply.Entries = delta.Entries
 		reply.TableSequence = delta.Sequence
+		if e := l.table.Get(args.Node); e != nil && delta.Sequence < l.table.Sequence() {
+			reply.Entries = append(reply.Entries, *e)
+		}
 	}
 	if args.Rejected >= l.state.Load().Offset() {
 		return
@@ -234,7 +240,7 @@
 			Rejected:    l.rejections.offset(time.Now()),
 			Entry:       l.self,
 		}
-		delta := l.table.Select(acknowledged, l.publishedSequence, replyEntriesMax, l.forwardsToParent)
+		delta := l.table.Select(acknowledged, l.publishedSequence, replyBounds, l.forwardsToParent)
 		out.Sequence = delta.Sequence
 		for _, e := range delta.Entries {
 			if e.Node == l.self.Node {
--- a/server/state/endpoint/table.go
+++ b/server/state/endpoint/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -121,12 +122,17 @@
 
 // Since returns the entries that changed after sequence.
 func (t *Table) Since(sequence uint64) Delta {
-	return t.Select(sequence, t.sequence, t.Len(), func(string) bool { return true })
+	return t.Select(sequence, t.sequence, Bounds{Entries: t.Len(), Bytes: math.MaxInt}, func(string) bool { return true })
 }
 
-// Select returns at most limit entries that changed after sequence and up to upTo, and whose origin passes the
-// filter.
-func (t *Table) Select(sequence, upTo uint64, limit int, origin func(string) bool) Delta {
+// Bounds limit a delta in entries and in bytes of their encoding. One entry is within the bounds however large it is.
+type Bounds struct {
+	Entries, Bytes int
+}
+
+// Select returns the entries that changed after sequence and up to upTo, and whose origin passes the filter, as many as are
+// within the bounds.
+func (t *Table) Select(sequence, upTo uint64, bounds Bounds, origin func(string) bool) Delta {
 	if sequence >= upTo {
 		return Delta{Sequence: sequence}
 	}
@@ -138,11 +144,13 @@
 	}
 	slices.SortFunc(rows, func(a, b *row) int { return cmp.Compare(a.sequence, b.sequence) })
 	delta := Delta{Sequence: upTo}
-	if len(rows) > limit {
-		rows = rows[:limit]
-		delta.Sequence = rows[limit-1].sequence
-	}
-	for _, r := range rows {
+	size := 0
+	for i, r := range rows {
+		size += r.entry.encodedSize()
+		if i >= bounds.Entries || i > 0 && size > bounds.Bytes {
+			delta.Sequence = rows[i-1].sequence
+			break
+		}
 		delta.Entries = append(delta.Entries, *r.entry)
 	}
 	return delta
--- a/server/state/endpoint/table_test.go
+++ b/server/state/endpoint/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -89,13 +90,16 @@
 func TestDeltasReproduceTheTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		source, copied := NewTable(retention), NewTable(retention)
-		limit := rapid.IntRange(1, 3).Draw(t, "limit")
+		bounds := Bounds{
+			Entries: rapid.IntRange(1, 3).Draw(t, "limit"),
+			Bytes:   rapid.SampledFrom([]int{1, 2 * entryBytes, math.MaxInt}).Draw(t, "bytes"),
+		}
 		all := func(string) bool { return true }
 		position := uint64(0)
 		for _, e := range entries().Draw(t, "entries") {
 			source.Merge(e, "", start)
 			if rapid.Bool().Draw(t, "sync") {
-				delta := source.Select(position, source.Sequence(), limit, all)
+				delta := source.Select(position, source.Sequence(), bounds, all)
 				for _, e := range delta.Entries {
 					copied.Merge(e, "", start)
 				}
@@ -103,7 +107,7 @@
 			}
 		}
 		for position < source.Sequence() {
-			delta := source.Select(position, source.Sequence(), limit, all)
+			delta := source.Select(position, source.Sequence(), bounds, all)
 			for _, e := range delta.Entries {
 				copied.Merge(e, "", start)
 			}
@@ -137,7 +141,7 @@
 	table := tableOf([]Entry{old})
 	assert.Assert(t, table.Merge(restarted, "a", start))
 	assert.DeepEqual(t, table.Get("a").Crashes, old.Crashes)
-	delta := table.Select(1, table.Sequence(), 9, func(origin string) bool { return origin != "a" })
+	delta := table.Select(1, table.Sequence(), Bounds{Entries: 9, Bytes: math.MaxInt}, func(origin string) bool { return origin != "a" })
 	assert.Equal(t, len(delta.Entries), 1, "the new process learns what the old one has counted")
 	assert.Assert(t, !table.Merge(restarted, "a", start))
 	assert.Assert(t, !table.Merge(delta.Entries[0], "b", start))
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -79,6 +79,28 @@
 	Cleared []Clearance
 }
 
+// Upper bounds of the encoding between nodes, in bytes: of an entry without its texts and lists, and of their elements.
+const (
+	entryBytes     = 160
+	crashBytes     = 40
+	clearanceBytes = 26
+	textBytes      = 4
+)
+
+// encodedSize returns an upper bound of the encoded size of an entry, in bytes.
+func (e *Entry) encodedSize() int {
+	size := entryBytes + len(e.Crashes)*crashBytes + len(e.Cleared)*clearanceBytes
+	for _, text := range [...]string{
+		e.Node, e.Address, e.FailureDomain, e.Region, e.Service, e.TargetAddress, e.TargetStart, e.Parent,
+	} {
+		size += textBytes + len(text)
+	}
+	for name, value := range e.Labels {
+		size += 2*textBytes + len(name) + len(value)
+	}
+	return size
+}
+
 // String returns the state in words.
 func (s State) String() string {
 	names := [...]string{"no_target", "alive", "draining", "suspect", "dead", "left"}
