Bound the entries of a dump in bytes

Cause: a dump listed up to 2,048 entries of any size and was refused as a whole above 4 MiB. After many crashes the entries of 810 nodes alone have 12.6 MB, so no dump could be had when it was needed.

Change: the entries of a dump have at most 2 MiB; those left out are counted as before.

Result: TestDumpOfACrowdedTableIsBounded failed before (12,651,078 bytes) and passes with -race.

--- a/server/coordination/control/service.go
+++ b/server/coordination/control/service.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"slices"
 	"time"
 
@@ -69,8 +70,8 @@
 	return reply
 }
 
-// dumpEntriesMax bounds the entries in a dump.
-const dumpEntriesMax = 2048
+// dumpEntryBytes bounds the entries in a dump, in bytes of indented JSON. It leaves half of a dump to everything else.
+const dumpEntryBytes = 2 << 20
 
 // DumpState is the state of the control goroutine for a dump.
 type DumpState struct {
@@ -135,14 +136,27 @@
 	if err != nil {
 		return map[string]string{"error": err.Error()}
 	}
-	if len(d.Entries) > dumpEntriesMax {
-		d.EntriesOmitted = len(d.Entries) - dumpEntriesMax
-		d.Entries = d.Entries[:dumpEntriesMax]
-	}
+	kept := countWithin(d.Entries, dumpEntryBytes)
+	d.EntriesOmitted = len(d.Entries) - kept
+	d.Entries = d.Entries[:kept]
 	d.Counters = l.Counters()
 	return d
 }
 
+// countWithin returns how many of the first entries fit into a number of bytes of a dump.
+func countWithin(entries []*endpoint.Entry, limit int) int {
+	size := 0
+	for i, e := range entries {
+		// The entries of a dump are three levels deep.
+		data, err := json.MarshalIndent(e, "      ", "  ")
+		size += len(data)
+		if err != nil || size > limit {
+			return i
+		}
+	}
+	return len(entries)
+}
+
 // ChildClosed records that the process of a child closed its connection, so that it is suspected at once.
 func (l *Loop) ChildClosed(node string) {
 	_ = l.do(context.Background(), func() {
