Count a publication that cannot be installed as a newer configuration

What callers would see: 404 for the routes of a publication that the store took and the nodes refuse, as invalid or too large, for as long as it is the newest. Cause: a refused publication left no trace but a log line, so the node denied routes by the old one as if it were the newest. Change: nodes remember the highest offset of a publication that cannot be installed and state it to each other; it makes them refuse unknown routes with 503. It counts neither for readiness nor for lag, which no waiting would end. A record that cannot be decoded at all is not counted, as before.

--- a/server/coordination/control/inforce.go
+++ b/server/coordination/control/inforce.go
@@ -29,6 +29,18 @@
 // none. It only grows and never blocks. A reader that loads the view first never gets less than the view's offset.
 func (l *Loop) HighestOffset() uint64 { return l.highestOffset.Load() }
 
+// NewestOffset returns the highest offset of a configuration that is known to exist, including those that no node of this build
+// can install. 0 means none. It only grows and never blocks.
+func (l *Loop) NewestOffset() uint64 { return max(l.highestOffset.Load(), l.uninstallable.Load()) }
+
+// heardOfUninstallable records the offset of a publication that this node or a peer has read and cannot install. It does not
+// count for readiness or lag, since no waiting would make the node reach it.
+func (l *Loop) heardOfUninstallable(offset uint64) {
+	if offset > l.uninstallable.Load() {
+		l.uninstallable.Store(offset)
+	}
+}
+
 // heardOf records an offset that the source or a peer stated. Only the control goroutine writes the value.
 func (l *Loop) heardOf(offset uint64) {
 	if offset > l.highestOffset.Load() {
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -33,6 +33,8 @@
 	contact atomic.Pointer[contact]
 	// highestOffset only grows, see HighestOffset.
 	highestOffset atomic.Uint64
+	// uninstallable only grows, see NewestOffset.
+	uninstallable atomic.Uint64
 	// changed signals new views, updates signals changes that syncs may forward.
 	changed broadcast
 	updates broadcast
@@ -270,10 +272,11 @@
 }
 
 // InstallWhole installs a configuration that was published as a complete document, if its offset is higher than the
-// current one. The error is a *config.InvalidError; no part of an invalid configuration is installed.
+// current one. The error is a *config.InvalidError or *config.OversizeError; no part of such a configuration is installed.
 func (l *Loop) InstallWhole(w *config.Whole) error {
 	state, err := config.FromWhole(w)
 	if err != nil {
+		_ = l.do(context.Background(), func() { l.heardOfUninstallable(w.Offset) })
 		return err
 	}
 	return l.do(context.Background(), func() {
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -218,6 +218,7 @@
 	c.lastHeard = now
 	reply.ParentInstance = l.instance
 	reply.HighestOffset = l.highestOffset.Load()
+	reply.Uninstallable = l.uninstallable.Load()
 	reply.Ready = l.ready
 	reply.ContactAgeMS = l.ContactAge().Milliseconds()
 	reply.HeldMS = now.Sub(received).Milliseconds()
@@ -275,6 +276,7 @@
 		l.mergeEntry(e, from, now)
 	}
 	l.heardOf(reply.HighestOffset)
+	l.heardOfUninstallable(reply.Uninstallable)
 	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot, from, now) {
 		l.reportSnapshotInstall(from, now)
 	}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -115,7 +115,7 @@
 	debug.SetGCPercent(collectPercentMin)
 	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p, sourceReader: newSourceReader()}
 	h.live.Store(s)
-	h.observer = newObserver(log.Log, func() uint64 { return h.control.HighestOffset() })
+	h.observer = newObserver(log.Log, func() uint64 { return h.control.NewestOffset() })
 	h.listeners = &listeners{}
 	steps := []func() error{
 		func() error { return h.listeners.openAll(s.Listen) }, h.buildControl, h.buildExecutor, h.buildDispatch, h.buildServers,
@@ -304,7 +304,7 @@
 		RetryLimit:      retryLimit(s),
 	}, dispatch.Dependencies{
 		View:           h.control.View,
-		NewestOffset:   h.control.HighestOffset,
+		NewestOffset:   h.control.NewestOffset,
 		Call:           h.trafficPool.Call,
 		Local:          h.executor.Execute,
 		CallerService:  h.registrar.Service,
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -60,6 +60,9 @@
 	TableSequence uint64
 	// HighestOffset is the highest log offset that the parent knows to exist.
 	HighestOffset uint64
+	// Uninstallable is the highest offset of a publication that the parent knows of and that could not be installed; 0 if there
+	// is none.
+	Uninstallable uint64
 	// ContactAgeMS is how long ago the parent had contact with a node that would know of its death verdict, in
 	// milliseconds.
 	ContactAgeMS int64
