Let the soak's configurations grow, and compare what is in force

Nodes that get configurations from other nodes refused one of 5,333 routes that the readers of the store had installed. The soak could not show it: its configurations had three routes, every node read the store (eight followers in each of two failure domains), and nothing compared what nodes have in force with what was published.

The answer must agree with one of the configurations that may be in force: DENIED for 404 to a route that all of them have, CONFIG for 200 to one that none has, ROUTE for one that never existed. A configuration is due 2.5 s after its acknowledgement (config-apply-s), at nodes that were in touch for 3 s (stability-s). - After the last fault, each node must serve a route that only the last configuration has, as soon as it is in touch and the bound has passed: otherwise CONFIG.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -57,15 +57,19 @@
 	return call
 }
 
-// seen checks an answer by itself and keeps it.
+// seen checks an answer to a call that all configurations allow, and keeps it.
 func (c *check) seen(node int, call platform.Call, reply platform.Reply) {
-	switch {
-	case reply.Err != nil:
-	case reply.Status == http.StatusOK && !reply.Whole(call):
-		c.fault("MIXED", fmt.Sprintf("%s got %+v", call.ID, reply))
-	case reply.Status >= 400 && reply.Status < 500 && !reply.NotRun():
+	if reply.Err == nil && reply.Status >= 400 && reply.Status < 500 && !reply.NotRun() {
 		c.fault("DENIED", fmt.Sprintf("%s got %d", call.ID, reply.Status))
 	}
+	c.keep(node, call, reply)
+}
+
+// keep checks an answer by itself, except whether the call may be refused, and keeps it.
+func (c *check) keep(node int, call platform.Call, reply platform.Reply) {
+	if reply.Err == nil && reply.Status == http.StatusOK && !reply.Whole(call) {
+		c.fault("MIXED", fmt.Sprintf("%s got %+v", call.ID, reply))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replies[call.ID] = reply
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -51,10 +51,15 @@
 	random   *rand.Rand
 	nodes    []*node
 	check    *check
+	// domains is the number of failure domains, followers the number of nodes in each that read the store.
+	domains, followers int
 
 	// publishing keeps the order of the versions in the store.
 	publishing sync.Mutex
 	version    int
+	// gained are the routes of the newest configuration beside those that all configurations have.
+	gained    routeRange
+	published publications
 	// bursts are calls that nobody waits for before the end.
 	bursts sync.WaitGroup
 	// over is true once no target is replaced any more.
@@ -88,6 +93,7 @@
 	}
 	defer store.Close()
 	r := &run{settings: s, store: store, random: rand.New(rand.NewPCG(s.Seed, 17)), check: newCheck()}
+	r.drawShape()
 	r.publish()
 	defer r.end()
 	for i := range s.Nodes {
@@ -107,11 +113,13 @@
 			wg.Go(func() { r.call(load, n) })
 		}
 		wg.Go(func() { r.readPopular(load, n) })
+		wg.Go(func() { r.probeRoutes(load, n) })
 	}
 	crashing, stopCrashing := context.WithCancel(ctx)
 	wg.Go(func() { r.sendCrashing(crashing) })
 	var disturbing sync.WaitGroup
 	disturbing.Go(func() { r.playIncidents(ctx) })
+	disturbing.Go(func() { r.playGrowth(ctx) })
 	r.disturb(ctx)
 	disturbing.Wait()
 	stopCrashing()
@@ -119,6 +127,7 @@
 	if err := r.awaitServing(ctx, healBound); err != nil {
 		r.check.fault("RECOVER", err.Error())
 	}
+	r.awaitNewest(ctx)
 	stop()
 	wg.Wait()
 	r.bursts.Wait()
@@ -142,15 +151,21 @@
 }
 
 // publish appends the next configuration; its idle routes differ from version to version.
-func (r *run) publish() {
+func (r *run) publish() { r.publishChange(func(*routeRange) {}) }
+
+// publishChange appends the next configuration after a change of its gained routes.
+func (r *run) publishChange(change func(gained *routeRange)) {
 	r.publishing.Lock()
 	defer r.publishing.Unlock()
 	r.version++
+	change(&r.gained)
+	r.published.begin(r.version, r.gained)
+	defer r.published.acknowledge()
 	r.store.PublishConfig(fmt.Appendf(nil, `{"version":%d,"limits":{"idle-timeout-s":15},"listeners":[{"host":"shop.example","rules":[
 		{"name":"read","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/read/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":3}},
 		{"name":"write","kind":"non_idempotent","target-latency-s":0.5,"priority":0,"match":{"path-prefix":"/write/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}},
-		{"name":"idle","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/idle%[1]d/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}}]}],
-		"clusters":[{"name":%[2]q,"health-path":%[3]q,"max-connections":100}]}`, r.version, service, platform.HealthPath))
+		{"name":"idle","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/idle%[1]d/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}}%[4]s]}],
+		"clusters":[{"name":%[2]q,"health-path":%[3]q,"max-connections":100}]}`, r.version, service, platform.HealthPath, r.gained.rules()))
 }
 
 func (r *run) startNode(id int) (*node, error) {
@@ -185,12 +200,12 @@
 store = %[3]s:7101
 leave_delay = 300ms
 [fanout]
-followers_per_domain = 8
+followers_per_domain = %[5]d
 reconnect_jitter = 50ms
 [target]
 service = %[4]s
 announce_lease = 1s
-`, id, id%2, n.ip, service)
+`, id, id%r.domains, n.ip, service, r.followers)
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -65,6 +65,42 @@
 	assert.Equal(t, r.version, publications)
 }
 
+// Guards against a check of routes that is blind, or that takes a configuration for due before its bound has passed.
+func TestRouteIsJudgedByConfigurationsThatMayBeInForce(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	p := publications{list: []publication{
+		{version: 1, sent: at(0), acknowledged: at(10)},
+		{version: 2, gained: routeRange{0, 5000}, sent: at(1000), acknowledged: at(1100)},
+		{version: 3, gained: routeRange{1000, 5000}, sent: at(9000), acknowledged: at(9100)},
+		{version: 4, gained: routeRange{1000, 9000}, sent: at(20000)},
+	}}
+	bound := int(configBound.Milliseconds())
+	for _, c := range []struct {
+		at, route, status int
+		fault             string
+	}{
+		{900, 4999, 404, ""},
+		{900, 4999, 200, "CONFIG"},
+		{1050, 4999, 200, ""},
+		{1100 + bound, 4999, 404, ""},
+		{1101 + bound, 4999, 404, "DENIED"},
+		{1101 + bound, 4999, 503, ""},
+		{1101 + bound, 4999, 403, "DENIED"},
+		{9100 + bound, 999, 200, ""},
+		{9100 + bound, 999, 404, ""},
+		{9101 + bound, 999, 200, "CONFIG"},
+		{9101 + bound, 4999, 404, "DENIED"},
+		{30000, 8999, 404, ""},
+		{30000, 8999, 200, ""},
+		{30000, noRoute, 404, ""},
+		{30000, noRoute, 200, "ROUTE"},
+	} {
+		fault, _ := judgeRoute(c.route, c.status, p.mayBeInForce(at(c.at), at(c.at+1)))
+		assert.Equal(t, fault, c.fault, "%+v", c)
+	}
+}
+
 // Guards against an address in use of which nobody can tell afterwards who held it.
 func TestAddressInUseNamesItsHolder(t *testing.T) {
 	const ip = "127.0.39.3"
