Start one process at a time for a node of the soak

Cause: a process that ended by itself was started again 200 ms later, also if a fault had restarted the node in that time, or the run had ended. The node then had two processes: the first kept the address and outlived the run, the second ended again and again with "address already in use". A SIGHUP had reached a process that had not yet set up its signals, while all nodes were restarted in turn.

Change: after the delay, the process is started only if it is still the last one of its node and no fault has ended the node meanwhile.

--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -219,6 +219,11 @@
 func (n *node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.startLocked()
+}
+
+// startLocked requires n.mu to be held.
+func (n *node) startLocked() error {
 	logFile, err := os.OpenFile(n.settingsFile+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -256,7 +261,12 @@
 		n.run.check.fault("EXIT", fmt.Sprintf("node %d: %v", n.id, cmd.ProcessState))
 	}
 	time.Sleep(restartDelay)
-	if err := n.start(); err != nil {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.expected || n.cmd != cmd {
+		return // Meanwhile a fault has started the next process, or will, or the run is over.
+	}
+	if err := n.startLocked(); err != nil {
 		n.run.check.fault("START", err.Error())
 	}
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,6 +115,27 @@
 	assert.ErrorContains(t, n.startTarget(), "held by instance i-0-1")
 }
 
+// Guards against a second process for a node, which keeps the address and outlives the run, because a fault restarts the node
+// just after its process has ended by itself.
+func TestRestartAfterAnEndByItself(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "program")
+	assert.NilError(t, os.WriteFile(program, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700))
+	n := &node{run: &run{settings: Settings{Program: program, Out: t.Output()}, check: newCheck()}, settingsFile: filepath.Join(t.TempDir(), "n.ini")}
+	assert.NilError(t, n.start())
+	first, ended := n.cmd, n.ended
+	n.signal(syscall.SIGHUP)
+	<-ended
+	n.restart(syscall.SIGKILL)
+	second := n.cmd
+	assert.Assert(t, second != first)
+	time.Sleep(2 * restartDelay)
+	n.mu.Lock()
+	assert.Check(t, n.cmd == second)
+	n.mu.Unlock()
+	n.finish(syscall.SIGKILL)
+	assert.Equal(t, len(n.run.check.faults), 0)
+}
+
 // Guards against a soak that loses runs, or counts them twice, because a target is being replaced when it ends.
 func TestTargetReplacedAtTheEnd(t *testing.T) {
 	const ip = "127.0.39.2"
