--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,6 +67,42 @@
 	assert.Equal(t, r.version, publications)
 }
 
+// Guards against a check of routes that is blind, or that takes a configuration for due before its bound has passed.
+func TestRouteIsJudgedByConfigurationsThatMayBeInForce(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	p := publications{list: []publication{
+		{version: 1, sent: at(0), acknowledged: at(10)},
+		{version: 2, gained: routeRange{0, 5000}, sent: at(1000), acknowledged: at(1100)},
+		{version: 3, gained: routeRange{1000, 5000}, sent: at(9000), acknowledged: at(9100)},
+		{version: 4, gained: routeRange{1000, 9000}, sent: at(20000)},
+	}}
+	bound := int(configBound.Milliseconds())
+	for _, c := range []struct {
+		at, route, status int
+		fault             string
+	}{
+		{900, 4999, 404, ""},
+		{900, 4999, 200, "CONFIG"},
+		{1050, 4999, 200, ""},
+		{1100 + bound, 4999, 404, ""},
+		{1101 + bound, 4999, 404, "DENIED"},
+		{1101 + bound, 4999, 503, ""},
+		{1101 + bound, 4999, 403, "DENIED"},
+		{9100 + bound, 999, 200, ""},
+		{9100 + bound, 999, 404, ""},
+		{9101 + bound, 999, 200, "CONFIG"},
+		{9101 + bound, 4999, 404, "DENIED"},
+		{30000, 8999, 404, ""},
+		{30000, 8999, 200, ""},
+		{30000, noRoute, 404, ""},
+		{30000, noRoute, 200, "ROUTE"},
+	} {
+		fault, _ := judgeRoute(c.route, c.status, p.mayBeInForce(at(c.at), at(c.at+1)))
+		assert.Equal(t, fault, c.fault, "%+v", c)
+	}
+}
+
 // Guards against an address in use of which nobody can tell afterwards who held it.
 func TestAddressInUseNamesItsHolder(t *testing.T) {
 	const ip = "127.0.39.3"
@@ -77,6 +115,27 @@
 	assert.ErrorContains(t, n.startTarget(), "held by instance i-0-1")
 }
 
+// Guards against a second process for a node, which keeps the address and outlives the run, because a fault restarts the node
+// just after its process has ended by itself.
+func TestRestartAfterAnEndByItself(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "program")
+	assert.NilError(t, os.WriteFile(program, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700))
+	n := &node{run: &run{settings: Settings{Program: program, Out: t.Output()}, check: newCheck()}, settingsFile: filepath.Join(t.TempDir(), "n.ini")}
+	assert.NilError(t, n.start())
+	first, ended := n.cmd, n.ended
+	n.signal(syscall.SIGHUP)
+	<-ended
+	n.restart(syscall.SIGKILL)
+	second := n.cmd
+	assert.Assert(t, second != first)
+	time.Sleep(2 * restartDelay)
+	n.mu.Lock()
+	assert.Check(t, n.cmd == second)
+	n.mu.Unlock()
+	n.finish(syscall.SIGKILL)
+	assert.Equal(t, len(n.run.check.faults), 0)
+}
+
 // Guards against a soak that loses runs, or counts them twice, because a target is being replaced when it ends.
 func TestTargetReplacedAtTheEnd(t *testing.T) {
 	const ip = "127.0.39.2"
