--- a/server/state/config/codec.go
+++ b/server/state/config/codec.go
@@ -76,7 +76,7 @@
 		return Change{}, &TooLargeError{Bytes: len(data), Max: limits.MaxRecordBytes}
 	}
 	c := Change{}
-	if err := decode(body, &c, maxChangeElements, true); err != nil {
+	if err := decode(body, &c, maxChangeElements); err != nil {
 		return Change{}, err
 	}
 	c.Rule = rule
@@ -113,13 +113,13 @@
 	return buf.Bytes(), nil
 }
 
-// decode reads exactly one value. It refuses unknown fields if strict is set.
-func decode(data []byte, v any, maxElements int, strict bool) error {
+// decode reads exactly one value without unknown fields.
+func decode(data []byte, v any, maxElements int) error {
 	if err := checkShape(data, maxElements); err != nil {
 		return fmt.Errorf("%w: %w", ErrUndecodable, err)
 	}
 	d := msgpack.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields(strict)
+	d.DisallowUnknownFields(true)
 	if err := d.Decode(v); err != nil {
 		return fmt.Errorf("%w: %w", ErrUndecodable, err)
 	}
--- a/server/state/config/snapshot.go
+++ b/server/state/config/snapshot.go
@@ -101,8 +101,7 @@
 		return nil, err
 	}
 	in := snapshot{}
-	// A newer build may add fields that this one does not need. One that must not be passed over raises snapshotFormat.
-	if err := decode(body, &in, maxSnapshotElements, false); err != nil {
+	if err := decode(body, &in, maxSnapshotElements); err != nil {
 		return nil, err
 	}
 	if err := checkSnapshot(offset, &in); err != nil {
