Pace what a node cannot use by peer, and records it is blocked at too

Cause: (1) the offset of a rejected state was sent to all peers, so one peer with an undecodable state made all others withhold theirs for 5 s. Change: rejections are remembered by peer, and a record that blocks the node counts as one.

--- a/server/coordination/control/inforce.go
+++ b/server/coordination/control/inforce.go
@@ -66,8 +66,8 @@
 	At          time.Time
 }
 
-// rejectedRetryInterval is how long a rejected state is not requested again. Every poll would bring it otherwise, and a
-// rejection can only pass when the peer is replaced.
+// rejectedRetryInterval is how long a state that this node could not use is not requested again from the same peer. Every poll
+// would bring it otherwise, and a rejection can only pass when the peer is replaced.
 const rejectedRetryInterval = 5 * time.Second
 
 // rejectionsMax bounds the peers and offsets of rejected states that are remembered.
@@ -77,15 +77,37 @@
 type rejections struct {
 	reported map[rejectionKey]struct{}
 	last     *SnapshotRejection
+	// recent are the last rejections by peer.
+	recent map[string]recentRejection
 }
 
-// offset returns the offset of the last rejected state until it is requested again; 0 after that.
-func (r *rejections) offset(now time.Time) uint64 {
-	if r.last == nil || now.Sub(r.last.At) >= rejectedRetryInterval {
-		return 0
+type recentRejection struct {
+	offset uint64
+	at     time.Time
+}
+
+// add remembers that a state up to an offset from a peer could not be used.
+func (r *rejections) add(from string, offset uint64, now time.Time) {
+	if r.recent == nil || len(r.recent) >= rejectionsMax {
+		r.recent = make(map[string]recentRejection)
+	}
+	r.recent[from] = recentRejection{offset: offset, at: now}
+}
+
+// offsets returns the offsets of the states that are not requested again yet, by peer; nil if there are none.
+func (r *rejections) offsets(now time.Time) map[string]uint64 {
+	var offsets map[string]uint64
+	for from, last := range r.recent {
+		if now.Sub(last.at) >= rejectedRetryInterval {
+			delete(r.recent, from)
+			continue
+		}
+		if offsets == nil {
+			offsets = make(map[string]uint64)
+		}
+		offsets[from] = last.offset
 	}
-	// The peer cannot have sent a state above the highest offset that it has stated.
-	return cmp.Or(r.last.Offset, r.last.HighestSeen)
+	return offsets
 }
 
 type rejectionKey struct {
@@ -93,8 +115,10 @@
 	offset uint64
 }
 
-// rejectSnapshot counts a state that could not be decoded, and passes it to the callback once for each peer and offset.
-func (l *Loop) rejectSnapshot(r SnapshotRejection, now time.Time) {
+// rejectSnapshot counts a state that could not be decoded, and passes it to the callback once for each peer and offset. stated is
+// the highest offset that the peer has stated, above which it cannot have sent a state.
+func (l *Loop) rejectSnapshot(r SnapshotRejection, stated uint64, now time.Time) {
+	l.rejections.add(r.From, cmp.Or(r.Offset, stated), now)
 	l.counter.syncsFailed.Add(1)
 	l.counter.snapshotsRejected.Add(1)
 	state := l.state.Load()
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -238,7 +238,7 @@
 			Version:     state.Version(),
 			Ready:       l.ready,
 			Reads:       l.roles.Load().ReadsLog,
-			Rejected:    l.rejections.offset(time.Now()),
+			Rejected:    l.rejections.offsets(time.Now()),
 			Entry:       l.self,
 		}
 		delta := l.table.Select(acknowledged, l.publishedSequence, replyBounds, l.forwardsToParent)
@@ -277,10 +277,13 @@
 	}
 	l.heardOf(reply.HighestOffset)
 	l.heardOfUninstallable(reply.Uninstallable)
-	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot, from, now) {
+	if len(reply.Snapshot) > 0 && l.installSnapshot(reply, from, now) {
 		l.reportSnapshotInstall(from, now)
 	}
 	l.applyRecords(reply.Records, from)
+	if l.blockedAt != 0 && len(reply.Records) > 0 {
+		l.rejections.add(from, reply.HighestOffset, now)
+	}
 	// A parent that is not ready may itself have missed versions.
 	if reply.Ready {
 		l.contacted = true
@@ -294,19 +297,20 @@
 // installSnapshot decodes and installs a snapshot that a parent sent, and reports whether its offset was higher than the
 // current one. One that cannot be decoded is counted, reported and otherwise ignored; polls
 // request it again after rejectedRetryInterval.
-func (l *Loop) installSnapshot(received []byte, from string, now time.Time) bool {
+func (l *Loop) installSnapshot(reply *wire.SyncReply, from string, now time.Time) bool {
+	received := reply.Snapshot
 	l.counter.snapshotsReceived.Add(1)
 	l.counter.snapshotBytesReceived.Add(int64(len(received)))
 	data, err := decompress(received)
 	if err != nil {
-		l.rejectSnapshot(SnapshotRejection{From: from, Bytes: len(received), Error: err.Error()}, now)
+		l.rejectSnapshot(SnapshotRejection{From: from, Bytes: len(received), Error: err.Error()}, reply.HighestOffset, now)
 		return false
 	}
 	state, err := config.DecodeSnapshot(data)
 	if err != nil {
 		l.rejectSnapshot(SnapshotRejection{
 			From: from, Offset: offsetOfRejected(data), Bytes: len(received), DecompressedBytes: len(data), Error: err.Error(),
-		}, now)
+		}, reply.HighestOffset, now)
 		return false
 	}
 	return l.install(state, from)
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -87,6 +87,7 @@
 		return nil, err
 	}
 	args := newArgs(out, relation)
+	args.Rejected = out.Rejected[cmp.Or(peer.Node, peer.Address)]
 	args.ParentInstance = instance
 	args.TableSequence = sequence
 	args.HoldMS = hold.Milliseconds()
@@ -120,7 +121,6 @@
 		Version:     out.Version,
 		Ready:       out.Ready,
 		Reads:       out.Reads,
-		Rejected:    out.Rejected,
 		Peer:        isLimited(relation),
 	}
 	if relation == ToFailover {
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -49,8 +49,9 @@
 	Ready       bool
 	// Reads is true if the node reads the configuration from its source itself.
 	Reads bool
-	// Rejected is the offset of a state that the node could not decode a short time ago.
-	Rejected uint64
+	// Rejected are the offsets of states that the node could not use a short time ago, by the name or address of the peer
+	// that sent them.
+	Rejected map[string]uint64
 	// Entry is the node's own entry.
 	Entry endpoint.Entry
 	// Entries are the entries to forward that changed after the requested sequence number, without the node's own
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -41,8 +41,8 @@
 	PushOnly bool
 	// StateOnly is true if the reply needs no entries. A node of an older build ignores it and sends them.
 	StateOnly bool
-	// Rejected is the offset of a state that the poller could not decode a short time ago; 0 if there is none. The reply
-	// leaves that state out. A node of an older build ignores it and sends the state with every poll.
+	// Rejected is the offset of a state from this parent that the poller could not use a short time ago; 0 if there is none.
+	// The reply leaves the state out up to there. A node of an older build ignores it and sends the state with every poll.
 	Rejected uint64
 }
 
