Do not lag behind a publication that was read and skipped

What callers would see: 503 for unknown routes and a node that reads the store for ever, until the next publication. Cause: a publication at a higher offset whose number does not grow was skipped, and its offset, once a peer stated it, was never reached. An append whose response is lost and that is repeated gives the same number twice. Evidence: TestSkippedPublicationIsNoLag failed before (lags for an hour).

--- a/server/coordination/control/inforce.go
+++ b/server/coordination/control/inforce.go
@@ -33,6 +33,10 @@
 // can install. 0 means none. It only grows and never blocks.
 func (l *Loop) NewestOffset() uint64 { return max(l.highestOffset.Load(), l.uninstallable.Load()) }
 
+// IsBehind reports whether a newer configuration is known to exist than the one at an offset that is or was in force here. It
+// never blocks.
+func (l *Loop) IsBehind(offset uint64) bool { return l.NewestOffset() > max(offset, l.skipped.Load()) }
+
 // heardOfUninstallable records the offset of a publication that this node or a peer has read and cannot install. It does not
 // count for readiness or lag, since no waiting would make the node reach it.
 func (l *Loop) heardOfUninstallable(offset uint64) {
--- a/server/coordination/control/lag.go
+++ b/server/coordination/control/lag.go
@@ -43,7 +43,8 @@
 	}
 	state := l.state.Load()
 	target, since := l.lag.target, l.lag.since
-	if !l.lag.update(state.Offset(), l.highestOffset.Load(), now, l.settings.LagLimit) {
+	reached := max(state.Offset(), l.skipped.Load())
+	if !l.lag.update(reached, l.highestOffset.Load(), now, l.settings.LagLimit) {
 		return
 	}
 	lag := Lag{Active: l.lag.active, Offset: state.Offset(), Version: state.Version(), Target: target, Since: since}
--- a/server/coordination/control/lag_test.go
+++ b/server/coordination/control/lag_test.go
@@ -53,3 +53,28 @@
 		assert.Assert(t, !reported[1].Active && reported[1].Offset == 41, "%+v", reported[1])
 	})
 }
+
+// Guards against a node that refuses unknown routes and reads the store for ever, because a peer that is gone stated the offset of a
+// publication that this node has read and that has the same number as the one in force, as after an append whose response was
+// lost, or a lower one.
+func TestSkippedPublicationIsNoLag(t *testing.T) {
+	for _, sequence := range []uint64{9, 5} {
+		testSkippedPublication(t, sequence)
+	}
+}
+
+func testSkippedPublication(t *testing.T, sequence uint64) {
+	synctest.Test(t, func(t *testing.T) {
+		loop := New(testLoopSettings(time.Second), endpoint.Entry{Node: "n1", FailureDomain: "d"})
+		var last Lag
+		loop.OnLag(func(l Lag) { last = l })
+		go loop.Run(t.Context())
+		assert.NilError(t, loop.InstallWhole(&config.Whole{Offset: 10, Sequence: 9}))
+		receive(loop, "n2", wire.SyncReply{HighestOffset: 20})
+		assert.NilError(t, loop.InstallWhole(&config.Whole{Offset: 20, Sequence: sequence}))
+		time.Sleep(time.Hour)
+		synctest.Wait()
+		assert.Assert(t, !last.Active, "lags for an hour")
+		assert.Assert(t, !loop.IsBehind(loop.View().Offset), "unknown routes get 503 for an hour")
+	})
+}
--- a/server/coordination/control/uninstallable_test.go
+++ b/server/coordination/control/uninstallable_test.go
@@ -44,7 +44,7 @@
 				for _, l := range []*Loop{reader, starting} {
 					assert.Equal(t, l.Offset(), uint64(10))
 					assert.Equal(t, l.HighestOffset(), uint64(10))
-					assert.Equal(t, l.NewestOffset(), uint64(20))
+					assert.Assert(t, l.IsBehind(10) && !l.IsBehind(20))
 					assert.Assert(t, l.View().Ready)
 				}
 				assert.Equal(t, lags, 0)
--- a/server/coordination/dispatch/behind_test.go
+++ b/server/coordination/dispatch/behind_test.go
@@ -25,7 +25,7 @@
 		{6, outcome.ReasonBehind, behindRetryAfter},
 	} {
 		h := New(Settings{}, Dependencies{
-			View: func() *view.View { return v }, NewestOffset: func() uint64 { return c.newest },
+			View: func() *view.View { return v }, IsBehind: func(offset uint64) bool { return offset < c.newest },
 		})
 		result := h.Do(t.Context(), &Request{ID: "q1", Method: "GET", Host: "shop.example", Path: "/new/"})
 		assert.Equal(t, result.Outcome, outcome.RefusedNotRun)
--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -73,8 +73,8 @@
 type Dependencies struct {
 	// View returns the current view.
 	View func() *view.View
-	// NewestOffset returns the highest offset of a configuration that the node knows to exist; nil if that is not known.
-	NewestOffset func() uint64
+	// IsBehind reports whether the node knows of a newer configuration than the one at an offset; nil if that is not known.
+	IsBehind func(offset uint64) bool
 	// Call invokes a net/rpc method of another node. It returns the error types of transport/peer.
 	Call func(ctx context.Context, address, method string, args, reply any) error
 	// Local executes a request at the local target.
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -165,7 +165,7 @@
 // isBehind reports whether the node knows of a newer configuration than that of the view. Callers do not repeat a request
 // whose route does not exist, so this is only said by a node that has the newest configuration it knows of.
 func (h *Handler) isBehind(v *view.View) bool {
-	return h.deps.NewestOffset != nil && h.deps.NewestOffset() > v.Offset
+	return h.deps.IsBehind != nil && h.deps.IsBehind(v.Offset)
 }
 
 // requestKind returns an identifier by which target nodes distinguish the requests of different routes.
--- a/server/coordination/ingress/fault_test.go
+++ b/server/coordination/ingress/fault_test.go
@@ -87,7 +87,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeNet{view: fault.view, react: replySequence(fault.react...), resolve: fault.resolve}
 				h := newTestHandler(t, f, func(_ *Settings, d *Dependencies) {
-					d.NewestOffset = func() uint64 { return fault.newest }
+					d.IsBehind = func(offset uint64) bool { return offset < fault.newest }
 				})
 				defer h.Shutdown(context.Background())
 				result := h.Do(t.Context(), fault.request)
--- a/server/coordination/ingress/ingress.go
+++ b/server/coordination/ingress/ingress.go
@@ -88,8 +88,8 @@
 type Dependencies struct {
 	// View returns the current view, or nil if there is none yet.
 	View func() *view.View
-	// NewestOffset returns the highest offset of a configuration that the node knows to exist; nil if that is not known.
-	NewestOffset func() uint64
+	// IsBehind reports whether the node knows of a newer configuration than the one at an offset; nil if that is not known.
+	IsBehind func(offset uint64) bool
 	// Call calls a net/rpc method of another node and returns the errors of transport/peer.
 	Call func(ctx context.Context, address, method string, args, reply any) error
 	// Local runs a request at the target attached to this node. If it is nil, those requests go through Call too.
--- a/server/coordination/ingress/request.go
+++ b/server/coordination/ingress/request.go
@@ -51,7 +51,7 @@
 		return nil, refuse(outcome.ReasonNotReady)
 	}
 	route, ok := routing.Match(v.Content, r.header(HeaderCaller), r.RoutePath)
-	if !ok && h.deps.NewestOffset != nil && h.deps.NewestOffset() > v.Offset {
+	if !ok && h.deps.IsBehind != nil && h.deps.IsBehind(v.Offset) {
 		return nil, refuse(outcome.ReasonBehind)
 	}
 	if !ok {
--- a/server/daemon/build.go
+++ b/server/daemon/build.go
@@ -202,7 +202,7 @@
 	var err error
 	d.ingress, err = ingress.New(in, ingress.Dependencies{
 		View:           d.control.View,
-		NewestOffset:   d.control.NewestOffset,
+		IsBehind:       d.control.IsBehind,
 		Call:           d.trafficPool.Call,
 		Local:          d.executor.Execute,
 		MergeEntries:   d.control.MergeEntries,
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -304,7 +304,7 @@
 		RetryLimit:      retryLimit(s),
 	}, dispatch.Dependencies{
 		View:           h.control.View,
-		NewestOffset:   h.control.NewestOffset,
+		IsBehind:       h.control.IsBehind,
 		Call:           h.trafficPool.Call,
 		Local:          h.executor.Execute,
 		CallerService:  h.registrar.Service,
