Let messages of 6 MiB through whatever message_max says

Cause: refused a settings file with message_max below 6 MiB, so a node whose file states the earlier default, 4 MiB, would not start after an upgrade (review).

--- a/server/daemon/core.go
+++ b/server/daemon/core.go
@@ -12,6 +12,7 @@
 	"wagtailford.example/server/coordination/membership"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
 	"wagtailford.example/server/transport/peer"
 )
@@ -62,9 +63,13 @@
 	return peer.Credential{Cluster: c.settings.Node.Cluster, Secret: []byte(c.settings.Security.ClusterCredential)}
 }
 
+// messageMin holds a snapshot, which may not become smaller when it is compressed, and the entries of a sync reply. With less,
+// a node could install a configuration that it cannot pass on.
+const messageMin = config.MaxSnapshotBytes + 2<<20
+
 func (c *core) trafficLimits() peer.Limits {
 	l := peer.DefaultLimits()
-	l.MaxMessageBytes = int(c.settings.Limits.MessageMax)
+	l.MaxMessageBytes = max(int(c.settings.Limits.MessageMax), messageMin)
 	l.MaxConnections = c.settings.Limits.ConnectionsMax
 	l.IdleTimeout = c.settings.Limits.IdleTimeout
 	l.SilenceTimeout = c.settings.Limits.SilenceTimeout
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -145,7 +145,7 @@
 		duration("read_timeout", &l.ReadTimeout, "30s", 100*time.Millisecond, 10*time.Minute, "time limit for reading a request"),
 		duration("idle_timeout", &l.IdleTimeout, "60s", 100*time.Millisecond, time.Hour, "how long an idle connection is kept"),
 		duration("silence_timeout", &l.SilenceTimeout, "1s", 50*time.Millisecond, time.Minute, "silence after which a connection with pending calls is replaced"),
-		size("message_max", &l.MessageMax, "8MiB", 64*kib, 256*mib, "largest message between nodes"),
+		size("message_max", &l.MessageMax, "8MiB", 64*kib, 256*mib, "largest message between nodes; a configuration and the entries beside it are let through in any case (6MiB)"),
 	)
 }
 
--- a/server/daemon/settings/load.go
+++ b/server/daemon/settings/load.go
@@ -10,14 +10,8 @@
 	"text/tabwriter"
 
 	"gopkg.in/ini.v1"
-
-	"wagtailford.example/server/state/config"
 )
 
-// messageMin holds a snapshot, which may not become smaller when it is compressed, and the entries of a sync reply. With less,
-// a node could install a configuration that it cannot pass on.
-const messageMin = config.MaxSnapshotBytes + 2*mib
-
 // minCredentialBytes is the shortest cluster credential; shorter ones can be found by trying.
 const minCredentialBytes = 16
 
@@ -150,10 +144,6 @@
 	if s.Limits.BodyMax+s.Limits.HeaderMax*4 > s.Limits.MessageMax {
 		fault("limits", "message_max", formatSize(s.Limits.MessageMax), "must hold a body and four times a header")
 	}
-	if s.Limits.MessageMax < messageMin {
-		fault("limits", "message_max", formatSize(s.Limits.MessageMax),
-			"must be at least "+formatSize(messageMin)+", to hold the largest configuration and the entries beside it")
-	}
 	checkPlace(s, fault)
 	checkCredential(s, fault)
 	checkOperator(s, fault)
