Do not log a skipped configuration as in force

Cause: the follower logged and counted a configuration as in force although the control loop had a newer one from a peer, or had skipped it for its number. A soak showed lines of an older version after those of a newer one. Change: it compares the offset in force; a lower number is logged as configuration_rejected. Evidence: TestSkippedConfigurationIsNotCountedAsInstalled failed before.

--- a/server/coordination/follow/source_follower.go
+++ b/server/coordination/follow/source_follower.go
@@ -162,6 +162,9 @@
 		return true, nil
 	}
 	f.processed = max(f.processed, w.Offset)
+	if f.logSkipped(w) {
+		return true, nil
+	}
 	f.Counters.Installed.Add(1)
 	f.logger.WithFields(log.Fields{
 		"event": "configuration", "version": w.Offset, "sequence": w.Sequence, "routes": len(w.Content.Routes),
@@ -173,6 +176,19 @@
 	return true, nil
 }
 
+// logSkipped reports whether the sink has another configuration in force than the one that was read: a newer one that a peer
+// sent meanwhile, or an older one because the publisher's number does not grow, which is logged.
+func (f *SourceFollower) logSkipped(w *config.Whole) bool {
+	inForce := f.sink.Offset()
+	if inForce < w.Offset {
+		f.Counters.Rejected.Add(1)
+		f.logger.WithFields(log.Fields{
+			"event": "configuration_rejected", "version": w.Offset, "sequence": w.Sequence, "in_force": inForce,
+		}).Warn("published configuration skipped: its number is not above that of the configuration in force")
+	}
+	return inForce != w.Offset
+}
+
 // maxUnknownLogged limits the unknown values that are logged for one configuration.
 const maxUnknownLogged = 8
 
--- a/server/coordination/follow/source_follower_test.go
+++ b/server/coordination/follow/source_follower_test.go
@@ -139,3 +139,30 @@
 		assert.Equal(t, named, 1)
 	})
 }
+
+// skippingSink has a configuration in force that a read one does not replace.
+type skippingSink struct{ offset uint64 }
+
+func (s skippingSink) Offset() uint64 { return s.offset }
+
+func (skippingSink) InstallWhole(*config.Whole) error { return nil }
+
+// Guards against a line and a counter which say that a configuration came in force that was skipped: because its number is
+// lower, or because a peer sent a newer one meanwhile.
+func TestSkippedConfigurationIsNotCountedAsInstalled(t *testing.T) {
+	for _, c := range []struct {
+		inForce  uint64
+		rejected int64
+	}{{3, 1}, {9, 0}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			lines := memory.New()
+			source := &scriptedSource{end: cancel, answers: []func() (*config.Whole, error){whole(7, 1)}}
+			f := NewSourceFollower(source, skippingSink{c.inForce}, SourceFollowerSettings{PollWait: time.Second}, &log.Logger{Handler: lines})
+			f.Run(ctx)
+			assert.Equal(t, f.Counters.Installed.Load(), int64(0))
+			assert.Equal(t, f.Counters.Rejected.Load(), c.rejected)
+			assert.Equal(t, len(lines.Entries), int(c.rejected))
+		})
+	}
+}
