Do not go back to an older publication that a peer has at a higher offset

What callers would see: routes of a confirmed configuration that vanish again. Found by the review. A node that starts after a late append of an older version has that one at a higher offset, and all others took it from there. Since a repeated number was installed at its offset, which made this likelier.

--- a/server/coordination/control/inforce.go
+++ b/server/coordination/control/inforce.go
@@ -37,6 +37,11 @@
 // never blocks.
 func (l *Loop) IsBehind(offset uint64) bool { return l.NewestOffset() > max(offset, l.skipped.Load()) }
 
+// skip records the offset of a publication that this node does not install, because its number is not above that of the
+// configuration in force: a publisher that restarts its sequence, or an append of an older version that the store does late,
+// must not roll the fleet back. The node is not behind such a publication.
+func (l *Loop) skip(offset uint64) { l.skipped.Store(max(l.skipped.Load(), offset)) }
+
 // heardOfUninstallable records the offset of a publication that this node or a peer has read and cannot install. It does not
 // count for readiness or lag, since no waiting would make the node reach it.
 func (l *Loop) heardOfUninstallable(offset uint64) {
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -35,8 +35,7 @@
 	highestOffset atomic.Uint64
 	// uninstallable only grows, see NewestOffset.
 	uninstallable atomic.Uint64
-	// skipped is the highest offset of a publication that was read and not installed because its number is lower than that of
-	// the configuration in force. It only grows.
+	// skipped is the highest offset of a publication that was not installed for its number, see skip. It only grows.
 	skipped atomic.Uint64
 	// changed signals new views, updates signals changes that syncs may forward.
 	changed broadcast
@@ -284,12 +283,10 @@
 	}
 	return l.do(context.Background(), func() {
 		l.contacted = true
-		// A publisher that restarts its sequence must not roll the fleet back. The same number again is the same
-		// configuration, such as after an append whose response was lost.
-		if w.Sequence >= l.state.Load().Sequence() {
+		if w.Sequence > l.state.Load().Sequence() {
 			l.install(state, FromSource)
 		} else {
-			l.skipped.Store(max(l.skipped.Load(), w.Offset))
+			l.skip(w.Offset)
 		}
 		l.updateReady()
 	})
--- a/server/coordination/control/order_test.go
+++ b/server/coordination/control/order_test.go
@@ -32,7 +32,35 @@
 		reply, err := starting.HandleSync(t.Context(), &wire.SyncArgs{Node: "first", Offset: 10})
 		assert.NilError(t, err)
 		first.HandleSyncResult(fanout.SyncResult{From: fanout.Peer{Node: "starting"}, Reply: reply, Sent: time.Now()})
-		assert.Equal(t, first.State().Sequence(), starting.State().Sequence(), "both nodes have one configuration")
 		assert.Equal(t, first.State().Sequence(), uint64(running), "a snapshot installs what the node skipped as a publication")
+		assert.Equal(t, first.State().Sequence(), starting.State().Sequence(), "both nodes have one configuration")
+	})
+}
+
+// Guards against a fleet that goes back to an older configuration, because a node that started after a late append of it has
+// it at a higher offset; and against nodes that count as behind it or get it with every poll.
+func TestSnapshotOfAnOlderPublicationIsSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loop := New(testLoopSettings(time.Second), endpoint.Entry{Node: "n1", FailureDomain: "d"})
+		var last Lag
+		loop.OnLag(func(l Lag) { last = l })
+		go loop.Run(t.Context())
+		started := New(testLoopSettings(time.Second), endpoint.Entry{Node: "n2", FailureDomain: "d"})
+		go started.Run(t.Context())
+		assert.NilError(t, loop.InstallWhole(&config.Whole{Offset: 10, Sequence: 22}))
+		assert.NilError(t, started.InstallWhole(&config.Whole{Offset: 20, Sequence: 18}))
+		reply, err := started.HandleSync(t.Context(), &wire.SyncArgs{Node: "n1", Offset: 10})
+		assert.NilError(t, err)
+		receive(loop, "n2", *reply)
+		assert.Equal(t, loop.State().Sequence(), uint64(22))
+		assert.Assert(t, !loop.IsBehind(loop.View().Offset))
+		state, err := loop.LocalState(0)
+		assert.NilError(t, err)
+		assert.Equal(t, state.Rejected["n2"], uint64(20))
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Assert(t, !last.Active, "lags for a minute")
+		assert.NilError(t, loop.InstallWhole(&config.Whole{Offset: 30, Sequence: 23}))
+		assert.Equal(t, loop.Offset(), uint64(30))
 	})
 }
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -313,6 +313,11 @@
 		}, reply.HighestOffset, now)
 		return false
 	}
+	if state.Sequence() < l.state.Load().Sequence() {
+		l.skip(state.Offset())
+		l.rejections.add(from, state.Offset(), now)
+		return false
+	}
 	return l.install(state, from)
 }
 
