--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -122,6 +122,9 @@
 	}
 }
 
+// replyBounds limit the entries in one message.
+var replyBounds = endpoint.Bounds{Entries: replyEntriesMax, Bytes: replyEntryBytes}
+
 // delta returns the entries that the poller lacks, up to a sequence number of the table.
 func (l *Loop) delta(args *wire.SyncArgs, upTo uint64) endpoint.Delta {
 	sequence := args.TableSequence
@@ -129,7 +132,7 @@
 		sequence = 0
 	}
 	notFrom := func(origin string) bool { return origin != args.Node }
-	return l.table.Select(sequence, upTo, replyEntriesMax, notFrom)
+	return l.table.Select(sequence, upTo, replyBounds, notFrom)
 }
 
 // hasUpdates reports whether the poller lacks anything that may be forwarded to it already.
@@ -156,6 +159,9 @@
 		delta := l.delta(args, l.table.Sequence())
 		reply.Entries = delta.Entries
 		reply.TableSequence = delta.Sequence
+		if e := l.table.Get(args.Node); e != nil && delta.Sequence < l.table.Sequence() {
+			reply.Entries = append(reply.Entries, *e)
+		}
 	}
 	if args.Rejected >= l.state.Load().Offset() {
 		return
@@ -212,6 +218,7 @@
 	c.lastHeard = now
 	reply.ParentInstance = l.instance
 	reply.HighestOffset = l.highestOffset.Load()
+	reply.Uninstallable = l.uninstallable.Load()
 	reply.Ready = l.ready
 	reply.ContactAgeMS = l.ContactAge().Milliseconds()
 	reply.HeldMS = now.Sub(received).Milliseconds()
@@ -234,7 +241,7 @@
 			Rejected:    l.rejections.offset(time.Now()),
 			Entry:       l.self,
 		}
-		delta := l.table.Select(acknowledged, l.publishedSequence, replyEntriesMax, l.forwardsToParent)
+		delta := l.table.Select(acknowledged, l.publishedSequence, replyBounds, l.forwardsToParent)
 		out.Sequence = delta.Sequence
 		for _, e := range delta.Entries {
 			if e.Node == l.self.Node {
@@ -269,6 +276,7 @@
 		l.mergeEntry(e, from, now)
 	}
 	l.heardOf(reply.HighestOffset)
+	l.heardOfUninstallable(reply.Uninstallable)
 	if len(reply.Snapshot) > 0 && l.installSnapshot(reply.Snapshot, from, now) {
 		l.reportSnapshotInstall(from, now)
 	}
