--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -295,8 +295,8 @@
 }
 
 // installSnapshot decodes and installs a snapshot that a parent sent, and reports whether its offset was higher than the
-// current one. One that cannot be decoded is counted, reported and otherwise ignored; polls
-// request it again after rejectedRetryInterval.
+// current one. One that cannot be decoded is counted, reported and otherwise ignored; polls request it again after
+// rejectedRetryInterval.
 func (l *Loop) installSnapshot(reply *wire.SyncReply, from string, now time.Time) bool {
 	received := reply.Snapshot
 	l.counter.snapshotsReceived.Add(1)
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -163,7 +163,7 @@
 }
 
 // isBehind reports whether the node knows of a newer configuration than that of the view. Callers do not repeat a request
-// whose route does not exist, so this is only said by a node that has the newest configuration it knows of.
+// after no_route, so it is left to nodes that have the newest configuration they know of.
 func (h *Handler) isBehind(v *view.View) bool {
 	return h.deps.IsBehind != nil && h.deps.IsBehind(v.Offset)
 }
