--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -15,8 +15,7 @@
 	pb "wagtailford.example/api/wagtailford/v1"
 )
 
-// messageMax limits a response, in bytes. Nodes limit neither the routes of a configuration that was published whole nor their
-// responses, and the default of 4 MiB ends at about 45,000 routes.
+// messageMax limits a response, in bytes. The default of 4 MiB ends at about 45,000 routes; a node may have 65,536 in force.
 const messageMax = 64 << 20
 
 // Options say how to reach a daemon.
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -159,6 +159,7 @@
 		delta := l.delta(args, l.table.Sequence())
 		reply.Entries = delta.Entries
 		reply.TableSequence = delta.Sequence
+		// A bounded delta may leave out the entry of the poller, which holds the decision on it.
 		if e := l.table.Get(args.Node); e != nil && delta.Sequence < l.table.Sequence() {
 			reply.Entries = append(reply.Entries, *e)
 		}
