Restore the case of a repeated number in a listed test

Cause: took the case "equal" out of TestPublicationWithLowerSequence as mended; then skipped repeated numbers again, and the test that replaced it looks at one node only. The case was dropped wrongly.

--- a/server/coordination/control/order_test.go
+++ b/server/coordination/control/order_test.go
@@ -14,27 +14,33 @@
 )
 
 // Guards against two paths that decide differently about one publication: a reader skips it because the publisher's number
-// is lower, a node that starts installs it, and the peers of that node take it from there because its offset is higher.
+// does not grow, a node that starts installs it, and the peers of that node take it from there because its offset is higher.
 func TestPublicationWithLowerSequence(t *testing.T) {
-	const running, started = 9, 5
-	synctest.Test(t, func(t *testing.T) {
-		start := func(name string) *Loop {
-			loop := New(testLoopSettings(time.Second), endpoint.Entry{Node: name, FailureDomain: "d"})
-			go loop.Run(t.Context())
-			return loop
-		}
-		first, starting := start("first"), start("starting")
-		assert.NilError(t, first.InstallWhole(&config.Whole{Offset: 10, Sequence: running}))
-		skipped := config.Whole{Offset: 20, Sequence: started}
-		assert.NilError(t, first.InstallWhole(&skipped))
-		assert.Equal(t, first.State().Offset(), uint64(10))
-		assert.NilError(t, starting.InstallWhole(&skipped))
-		reply, err := starting.HandleSync(t.Context(), &wire.SyncArgs{Node: "first", Offset: 10})
-		assert.NilError(t, err)
-		first.HandleSyncResult(fanout.SyncResult{From: fanout.Peer{Node: "starting"}, Reply: reply, Sent: time.Now()})
-		assert.Equal(t, first.State().Sequence(), uint64(running), "a snapshot installs what the node skipped as a publication")
-		assert.Equal(t, first.State().Sequence(), starting.State().Sequence(), "both nodes have one configuration")
-	})
+	for _, c := range []struct {
+		name             string
+		running, started uint64
+	}{{"lower", 9, 5}, {"equal", 9, 9}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := func(name string) *Loop {
+					loop := New(testLoopSettings(time.Second), endpoint.Entry{Node: name, FailureDomain: "d"})
+					go loop.Run(t.Context())
+					return loop
+				}
+				running, starting := start("running"), start("starting")
+				assert.NilError(t, running.InstallWhole(&config.Whole{Offset: 10, Sequence: c.running}))
+				skipped := config.Whole{Offset: 20, Sequence: c.started}
+				assert.NilError(t, running.InstallWhole(&skipped))
+				assert.Equal(t, running.State().Offset(), uint64(10))
+				assert.NilError(t, starting.InstallWhole(&skipped))
+				reply, err := starting.HandleSync(t.Context(), &wire.SyncArgs{Node: "running", Offset: 10})
+				assert.NilError(t, err)
+				running.HandleSyncResult(fanout.SyncResult{From: fanout.Peer{Node: "starting"}, Reply: reply, Sent: time.Now()})
+				assert.Equal(t, running.State().Sequence(), starting.State().Sequence(), "both nodes have one configuration")
+				assert.Equal(t, running.State().Offset(), uint64(10), "a snapshot installs what the node skipped as a publication")
+			})
+		})
+	}
 }
 
 // Guards against a fleet that goes back to an older configuration, because a node that started after a late append of it has
