--- a/review/driver-2/crowd.go
+++ b/review/driver-2/crowd.go
@@ -14,8 +14,8 @@
 const (
 	// machineMemory is the memory of a machine of the site cpuro-rates, 134 MB, in its larger reading.
 	machineMemory = 134 << 20
-	// linkBytes is what the link of a machine carries in a second, 1,000 Mbit.
-	linkBytes = 1000 * 1000 * 1000 / 8
+	// crowdBytes is what the crowd sends in a second. The link of a machine carries 1,000 Mbit, which is 125 MB.
+	crowdBytes = 115 * 1000 * 1000
 	// crowdTime is how long the crowd sends.
 	crowdTime = 25 * time.Second
 	// chunkBytes is the size of large chunks.
@@ -44,14 +44,14 @@
 	answered atomic.Int64
 }
 
-// write writes to a connection, all together no faster than the link of a machine.
+// write writes to a connection, all together slower than the link of a machine.
 func (c *crowd) write(conn net.Conn, text string) bool {
 	for len(text) > 0 && !c.stopped.Load() {
 		part := text[:min(len(text), chunkBytes)]
 		if _, err := io.WriteString(conn, part); err != nil {
 			return false
 		}
-		due := time.Duration(float64(c.sent.Add(int64(len(part)))) / linkBytes * float64(time.Second))
+		due := time.Duration(float64(c.sent.Add(int64(len(part)))) / crowdBytes * float64(time.Second))
 		time.Sleep(time.Until(c.began.Add(due)))
 		text = text[len(part):]
 	}
