--- a/review/driver-2/cases.go
+++ b/review/driver-2/cases.go
@@ -50,13 +50,15 @@
 // first one has arrived. The node acknowledges that.
 func leaveCase(b *bench) bool {
 	const late = 3 * time.Second
-	nodes := startNodes(b, serviceA, serviceA, serviceB)
+	// One of seven backends of the service crashes and leaves.
+	nodes := startNodes(b, serviceA, serviceA, serviceA, serviceA, serviceA, serviceA, serviceA, serviceB)
 	first := b.newBackend("i-7f3a91c2", zone, nodes[0])
 	first.report(inTime)
-	other := b.newBackend("i-02d9e6b4", zone, nodes[1])
-	other.report(inTime)
+	for i, n := range nodes[1:7] {
+		b.newBackend(fmt.Sprintf("i-02d9e6b%d", i), zone, n).report(inTime)
+	}
 	time.Sleep(2 * time.Second)
-	traffic := startLoad(http.MethodPost, prefixPost, 8, 20*time.Millisecond, nodes...)
+	traffic := startLoad(http.MethodPost, prefixPost, 24, 20*time.Millisecond, nodes...)
 	time.Sleep(2 * stabilityTime)
 
 	first.crash()
