Reject reports that lack a listed field or have it in another form

Cause: decodeReport checked only state, start, slots and sequence. A missing zone, version or cold-left-s passed, and encoding/json takes a field under a name in another case, and the last of a field that stands twice. Such a report is another writer's; it replaced the registered target because its start was later.

TestReportWithOddFieldIsRejected fails before: 57 forms of the nine listed fields were accepted, and an "Info" in place of "info"; TestLeaveWithOddStartIsRejected fails for DELETE.

Change: malformed.Decode is the one place for entries of other writers. It decodes with github.com/go-json-experiment/json, which matches names exactly and rejects duplicates, and requires every field of pointer type. Reports, DELETE, directory records, crash counts, rollout records, orders and configurations use it. A DELETE without a body stays valid: the platform's targets send none. The rows of malformedReports got the fields that they lacked, so that each still shows its own fault.

--- a/server/coordination/announce/registration.go
+++ b/server/coordination/announce/registration.go
@@ -18,6 +18,8 @@
 	Sequence uint64
 	Service  string
 	Address  string
+	// FailureDomain is where the target runs.
+	FailureDomain string
 	// SoftwareVersion is the version of the application.
 	SoftwareVersion string
 	Slots           int
--- a/server/coordination/crashrecords/topic_store.go
+++ b/server/coordination/crashrecords/topic_store.go
@@ -7,6 +7,7 @@
 
 	"wagtailford.example/server/coordination/malformed"
 	"wagtailford.example/server/protocol/keyedstore"
+	"wagtailford.example/server/state/endpoint"
 )
 
 // MaxCounts is the largest number of counts that a record may hold.
@@ -48,10 +49,14 @@
 
 // decodeRecord returns the record of a node under its key.
 func decodeRecord(key string, value []byte) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
+	var body struct {
+		Node    *string                `json:"node"`
+		Crashes *[]endpoint.CrashCount `json:"crashes"`
+	}
+	if err := malformed.Decode(value, &body); err != nil {
 		return Record{}, err
 	}
+	r := Record{Node: *body.Node, Crashes: *body.Crashes}
 	if r.Node != key {
 		return Record{}, malformed.ErrOtherKey
 	}
--- a/server/coordination/rollout/topic_records.go
+++ b/server/coordination/rollout/topic_records.go
@@ -33,7 +33,7 @@
 
 func decodeRecord(key string, value []byte) (Record, error) {
 	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
+	if err := malformed.Decode(value, &r); err != nil {
 		return Record{}, err
 	}
 	if r.Service != key {
--- a/server/coordination/seeds/topic_directory.go
+++ b/server/coordination/seeds/topic_directory.go
@@ -50,7 +50,7 @@
 // decodeRecord returns the record of a node under its key.
 func decodeRecord(key string, value []byte) (Record, error) {
 	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
+	if err := malformed.Decode(value, &r); err != nil {
 		return Record{}, err
 	}
 	if r.Node != key {
