Reject reports that name another service, address or failure domain than the VM has

Cause: Registrar.expects took every service that the configuration names for one that the VM may have, although its settings name one. Address and failure domain were compared with nothing.

A report that differs is rejected, a reload takes over a changed service or address, and an empty setting compares nothing.

Evidence: TestReportOfAnotherVMReplacesNoTarget fails without the two comparisons ("catalog" is accepted at a VM of orders).

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -20,8 +20,17 @@
 	Lease time.Duration
 	// SlowStart is the time over which a cold target gets its full share of requests from other nodes.
 	SlowStart time.Duration
-	// Service is the service of the target before its first report.
+	// Identity is what the settings state of the target.
+	Identity Identity
+}
+
+// Identity is what the settings of a node state of the target beside it; empty fields are not stated. A report that differs from
+// it is not the target's.
+type Identity struct {
 	Service string
+	// Address is HOST:PORT.
+	Address       string
+	FailureDomain string
 }
 
 // TargetRunner runs requests at the target. *execute.Executor implements it.
@@ -47,8 +56,11 @@
 // ErrUnknownService means that a report names a service that this node has no reason to expect.
 var ErrUnknownService = errors.New("unknown service")
 
-// ErrOtherTarget means that a report names the known process of the target with another service or address.
-var ErrOtherTarget = errors.New("service or address differ from those of the same process")
+// ErrOtherVM means that a report states another address or failure domain than the settings of this VM.
+var ErrOtherVM = errors.New("target of another VM")
+
+// ErrOtherTarget means that a report names the known process of the target with another service, address or failure domain.
+var ErrOtherTarget = errors.New("service, address or failure domain differ from those of the same process")
 
 // ErrIncomplete means that a report lacks a required field.
 var ErrIncomplete = errors.New("incomplete report")
@@ -65,9 +77,9 @@
 	lookup     ServiceLookup
 	logger     log.Interface
 
-	mu      sync.Mutex
-	service string
-	current Registration
+	mu       sync.Mutex
+	identity Identity
+	current  Registration
 	// stopping is true when the node accepts no new requests for its target.
 	stopping bool
 }
@@ -77,7 +89,7 @@
 	s RegistrarSettings, runner TargetRunner, updateSelf func(func(*endpoint.Entry)), ask Asker, lookup ServiceLookup, logger log.Interface,
 ) *Registrar {
 	return &Registrar{
-		settings: s, service: s.Service, runner: runner, updateSelf: updateSelf, ask: ask, lookup: lookup, logger: logger,
+		settings: s, identity: s.Identity, runner: runner, updateSelf: updateSelf, ask: ask, lookup: lookup, logger: logger,
 	}
 }
 
@@ -98,8 +110,8 @@
 }
 
 // Take processes a report. When it returns, the TargetRunner has the new state, so the report may be acknowledged. A rejected
-// report changes nothing; the error is ErrIncomplete, ErrStartInFuture, ErrUnknownService or ErrOtherTarget. An outdated report
-// is no error.
+// report changes nothing; the error is ErrIncomplete, ErrStartInFuture, ErrUnknownService, ErrOtherVM or ErrOtherTarget. An
+// outdated report is no error.
 func (r *Registrar) Take(report Report) error {
 	now := time.Now()
 	if err := r.check(report, now); err != nil {
@@ -121,30 +133,39 @@
 		return ErrStartInFuture
 	}
 	r.mu.Lock()
-	current, service := r.current.Report, r.service
+	current, identity := r.current.Report, r.identity
 	r.mu.Unlock()
 	if report.Instance == current.Instance && report.BornMS == current.BornMS {
-		if report.Service != current.Service || report.Address != current.Address {
+		if !report.hasPlaceOf(current) {
 			return ErrOtherTarget
 		}
 		return nil
 	}
-	if !r.expects(report.Service, current.Service, service) {
+	if !r.expects(report.Service, current.Service, identity.Service) {
 		return fmt.Errorf("%w: %.64q", ErrUnknownService, report.Service)
 	}
+	if !isStated(identity.Address, report.Address) || !isStated(identity.FailureDomain, report.FailureDomain) {
+		return fmt.Errorf("%w: %.64q in %.64q", ErrOtherVM, report.Address, report.FailureDomain)
+	}
 	return nil
 }
 
-// expects reports whether a process may report a service: that of the settings or of the process before, which the
-// configuration need not name yet or any more, or one that the configuration names. Without settings and configuration,
-// nothing is known about services.
-func (r *Registrar) expects(service, registered, configured string) bool {
-	if service == configured || service == registered {
+// isStated reports whether a value is the one that the settings state, if they state one.
+func isStated(setting, value string) bool { return setting == "" || setting == value }
+
+// expects reports whether a process may report a service. If the settings state one, it is the only one, whatever else the
+// configuration names: a VM belongs to one service. Otherwise it is that of the process before, which the configuration need not
+// name any more, or one that the configuration names. Without all of these, nothing is known about services.
+func (r *Registrar) expects(service, registered, stated string) bool {
+	if stated != "" {
+		return service == stated
+	}
+	if service == registered {
 		return true
 	}
 	named, known := r.lookup(service)
 	if !known {
-		return configured == "" && registered == ""
+		return registered == ""
 	}
 	return named
 }
@@ -200,14 +221,14 @@
 	if r.current.Report.Service != "" {
 		return r.current.Report.Service
 	}
-	return r.service
+	return r.identity.Service
 }
 
-// SetService replaces the service of the target before its first report.
-func (r *Registrar) SetService(service string) {
+// SetIdentity replaces what the settings state of the target. The registered process keeps what it has reported.
+func (r *Registrar) SetIdentity(i Identity) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.service = service
+	r.identity = i
 }
 
 // Current returns the registration.
--- a/server/coordination/announce/registrar_test.go
+++ b/server/coordination/announce/registrar_test.go
@@ -114,7 +114,7 @@
 func TestReportBeforeTheFirstConfiguration(t *testing.T) {
 	runner := &lastTarget{}
 	none := func(string) (named, known bool) { return false, false }
-	r := NewRegistrar(RegistrarSettings{Lease: time.Minute, Service: "orders"}, runner,
+	r := NewRegistrar(RegistrarSettings{Lease: time.Minute, Identity: Identity{Service: "orders"}}, runner,
 		func(change func(*endpoint.Entry)) { change(&endpoint.Entry{}) },
 		func(context.Context, Report) bool { return false }, none, &log.Logger{Handler: discard.New()})
 	report := Report{Instance: "i-1", BornMS: 1, Sequence: 1, Service: "nosuch", Address: "127.0.0.1:80"}
@@ -125,6 +125,38 @@
 }
 
 // Guards against a late notice of an earlier process that takes the next one under the same name out of service.
+// Guards against a complete report of another writer that replaces the running target although the VM belongs to another service,
+// or the report to another VM, and against further reports of the target that have no effect afterwards.
+func TestReportOfAnotherVMReplacesNoTarget(t *testing.T) {
+	born := time.Now().UnixMilli()
+	r, runner := registrarOf(t, born)
+	r.SetIdentity(Identity{Service: "orders", Address: "127.0.0.1:80", FailureDomain: "west"})
+	next := Report{
+		Instance: "i-2", BornMS: born + 1, Sequence: 1, Service: "orders", Address: "127.0.0.1:80", FailureDomain: "west", Slots: 18,
+	}
+	for _, c := range []struct {
+		change func(*Report)
+		want   error
+	}{
+		{func(r *Report) { r.Service = "catalog" }, ErrUnknownService},
+		{func(r *Report) { r.Instance, r.Service = "i-1", "catalog" }, ErrUnknownService},
+		{func(r *Report) { r.Address = "127.0.0.1:81" }, ErrOtherVM},
+		{func(r *Report) { r.FailureDomain = "east" }, ErrOtherVM},
+		{func(r *Report) { r.BornMS, r.Instance, r.FailureDomain = born, "i-1", "east" }, ErrOtherTarget},
+	} {
+		odd := next
+		c.change(&odd)
+		assert.Assert(t, errors.Is(r.Take(odd), c.want), "%+v", odd)
+		assert.Equal(t, r.Service(), "orders")
+		assert.Equal(t, runner.Instance, "i-1")
+		assert.Equal(t, runner.Refuse, outcome.ReasonNone)
+	}
+	assert.NilError(t, r.Take(Report{Instance: "i-1", BornMS: born, Sequence: 9, Service: "orders", Address: "127.0.0.1:80", Slots: 18}))
+	assert.Equal(t, r.Current().Report.Sequence, uint64(9), "the running target still reports")
+	assert.NilError(t, r.Take(next))
+	assert.Equal(t, runner.Instance, "i-2")
+}
+
 func TestLeaveOfAnEarlierProcess(t *testing.T) {
 	born := time.Now().UnixMilli()
 	r, runner := registrarOf(t, born)
--- a/server/coordination/announce/registration.go
+++ b/server/coordination/announce/registration.go
@@ -28,6 +28,11 @@
 	ColdLeft time.Duration
 }
 
+// hasPlaceOf reports whether two reports name the same service, address and failure domain. A process keeps them.
+func (r Report) hasPlaceOf(other Report) bool {
+	return r.Service == other.Service && r.Address == other.Address && r.FailureDomain == other.FailureDomain
+}
+
 // Verdict is the effect of a report.
 type Verdict uint8
 
@@ -133,8 +138,7 @@
 
 // renew returns the registration after a report of the known process, which keeps its service and address.
 func (r Registration) renew(report Report, now time.Time) (Registration, Verdict) {
-	if report.Instance != r.Report.Instance || report.Sequence <= r.Report.Sequence ||
-		report.Service != r.Report.Service || report.Address != r.Report.Address {
+	if report.Instance != r.Report.Instance || report.Sequence <= r.Report.Sequence || !report.hasPlaceOf(r.Report) {
 		return r, Late
 	}
 	report.Draining = report.Draining || r.Leaving
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -267,7 +267,7 @@
 	}
 	h.crashRecords = crashrecords.NewKeeper(s.Node.Name, h.platform.CrashRecords(), h.executor.CrashCounts, log.Log)
 	h.registrar = announce.NewRegistrar(announce.RegistrarSettings{
-		Lease: s.Target.AnnounceLease, SlowStart: s.Routing.SlowStart, Service: s.Target.Service,
+		Lease: s.Target.AnnounceLease, SlowStart: s.Routing.SlowStart, Identity: targetIdentity(s),
 	}, h.executor, h.control.UpdateSelf, h.checkReportedTarget, h.lookUpService, log.Log)
 	return nil
 }
--- a/server/daemon/reload.go
+++ b/server/daemon/reload.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 
+	"wagtailford.example/server/coordination/announce"
 	"wagtailford.example/server/coordination/quota"
 	"wagtailford.example/server/coordination/retry"
 	"wagtailford.example/server/daemon/settings"
@@ -12,7 +13,7 @@
 
 // adjustable are the settings that a running hosted node takes over; all others need a new process.
 var adjustable = []string{
-	"Node.ShutdownTimeout", "Platform.LeaveDelay", "Target.Service",
+	"Node.ShutdownTimeout", "Platform.LeaveDelay", "Target.Service", "Target.Address",
 	"Routing.RetryFraction", "Routing.RepeatWindow", "Routing.RepeatSlack",
 	"Quota.Window", "Quota.Overage", "Quota.Slack",
 }
@@ -25,13 +26,14 @@
 	live.Node.ShutdownTimeout = next.Node.ShutdownTimeout
 	live.Platform.LeaveDelay = next.Platform.LeaveDelay
 	live.Target.Service = next.Target.Service
+	live.Target.Address = next.Target.Address
 	live.Routing.RetryFraction = next.Routing.RetryFraction
 	live.Routing.RepeatWindow = next.Routing.RepeatWindow
 	live.Routing.RepeatSlack = next.Routing.RepeatSlack
 	live.Quota = next.Quota
 	h.live.Store(&live)
 	h.quota.SetLimit(quotaLimit(&live))
-	h.registrar.SetService(live.Target.Service)
+	h.registrar.SetIdentity(targetIdentity(&live))
 	h.dispatch.SetRetryLimit(retryLimit(&live))
 	logReload(changed, ignored)
 }
@@ -43,6 +45,11 @@
 	}
 }
 
+// targetIdentity returns what the settings state of the target. It runs on the VM of the node, so in its failure domain.
+func targetIdentity(s *settings.Settings) announce.Identity {
+	return announce.Identity{Service: s.Target.Service, Address: s.Target.Address, FailureDomain: s.Node.FailureDomain}
+}
+
 // quotaLimit returns the bound on the requests of an organisation at all nodes together.
 func quotaLimit(s *settings.Settings) quota.Limit {
 	return quota.Limit{Window: s.Quota.Window, Overage: s.Quota.Overage, Slack: float64(s.Quota.Slack)}
--- a/server/daemon/settings/keys.go
+++ b/server/daemon/settings/keys.go
@@ -174,7 +174,8 @@
 		duration("drain_window", &t.DrainWindow, "1500ms", 0, 10*time.Minute, "how long a draining target still gets requests that wait for it"),
 		integer("connections_max", &t.ConnectionsMax, "32", 1, 10000, "connections to the target"),
 		duration("health_interval", &t.HealthInterval, "2s", 100*time.Millisecond, 10*time.Minute, "interval of health checks"),
-		text("service", &t.Service, "service of the target before its first report"),
+		text("service", &t.Service, "service of the target; reports that name another one are rejected"),
+		address("address", &t.Address, optional, "address of the target; reports that state another one are rejected"),
 	)
 }
 
--- a/server/daemon/settings/settings.go
+++ b/server/daemon/settings/settings.go
@@ -197,8 +197,10 @@
 	DrainWindow    time.Duration
 	ConnectionsMax int
 	HealthInterval time.Duration
-	// Service is the service of the target before its first report.
+	// Service is the service of the target. If it is set, a report that names another one is not the target's.
 	Service string
+	// Address is HOST:PORT of the target. If it is set, a report that states another one is not the target's.
+	Address string
 }
 
 // Platform holds the settings of a node that runs on a platform. The store takes the place of the log service.
