Keep every acknowledged leave, also of a process that has not reported yet

Cause: Registrar.Leave ignored a notice whose start differs from that of the registered process as one of an earlier process, also if it was of a later one. Requests to the registered process reach the later one, which has its name and address; and the leave was not kept, so that the late report registered the process that had left.

Change: a notice of a later start stops the registered process and is kept. Kept leaves compare starts with starts; the clock is used only for notices without a start, and then a later process under a registered name is unverified until its health check passes. A leave that cannot be kept is refused instead of dropping the oldest one. Reports prove that an unverified target has not left only 6 s after the first, as two may have been sent before the leave; the health check is repeated meanwhile.

--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -180,16 +180,20 @@
 	})
 }
 
-// Leave processes the notice that a target leaves. When it returns, no new request is sent to it. bornMS is the start of the
-// process that leaves, as in Report; 0 if the notice does not state it. A notice of an earlier process changes nothing.
-func (r *Registrar) Leave(instance string, bornMS int64) {
+// Leave processes the notice that a target leaves. When it returns without an error, no new request is sent to the process that
+// leaves, and the notice may be acknowledged. A notice of an earlier process changes nothing. The error is ErrStartInFuture or
+// ErrTooManyLeaves.
+func (r *Registrar) Leave(n Notice) error {
 	now := time.Now()
-	r.change("leave", func(current Registration) (Registration, Verdict) {
-		if current.Report.Instance == instance && bornMS != 0 && bornMS != current.Report.BornMS {
-			return current, Late
-		}
-		return current.Leave(instance, now)
+	if n.BornMS > now.Add(startAheadMax).UnixMilli() {
+		return ErrStartInFuture
+	}
+	var err error
+	r.change("leave", func(current Registration) (next Registration, verdict Verdict) {
+		next, verdict, err = current.Leave(n, now)
+		return next, verdict
 	})
+	return err
 }
 
 // LeaveStated processes the statement of a process of the target, in a response to a request, that it leaves. When it
@@ -202,7 +206,12 @@
 		if current.start() != start {
 			return current, Late
 		}
-		return current.Leave(current.Report.Instance, now)
+		// The response may be of a later process under the same name that has not reported yet.
+		next, verdict, err := current.Leave(Notice{Instance: current.Report.Instance}, now)
+		if err != nil {
+			return current.leave(now)
+		}
+		return next, verdict
 	})
 }
 
--- a/server/coordination/announce/registration.go
+++ b/server/coordination/announce/registration.go
@@ -60,20 +60,22 @@
 	// Unverified is true until it is certain that the target is not leaving: a restarted node has lost the
 	// acknowledgement of a leave, and a report from before that may arrive late.
 	Unverified bool
-	// renewals is the number of reports of an unverified target after the first.
-	renewals int
+	// unverifiedSince is the time from which Unverified is true.
+	unverifiedSince time.Time
 	// WarmAt is the time from which the target is at full speed.
 	WarmAt time.Time
-	// leaves are the acknowledged leaves of other processes than this one.
+	// leaves are the acknowledged leaves that may be of another process than the registered one.
 	leaves []leave
 }
 
-// hasLeft reports whether a process that was not registered at the time has left. A process that started later under the same
-// name has not.
+// hasLeft reports whether the process of a report is known to have left.
 func (r Registration) hasLeft(report Report) bool {
-	return slices.ContainsFunc(r.leaves, func(l leave) bool {
-		return l.instance == report.Instance && report.BornMS <= l.at.UnixMilli()
-	})
+	return slices.ContainsFunc(r.leaves, func(l leave) bool { return l.isOf(report) })
+}
+
+// mayHaveLeft reports whether an acknowledged leave may be that of the process of a report.
+func (r Registration) mayHaveLeft(report Report) bool {
+	return slices.ContainsFunc(r.leaves, func(l leave) bool { return l.mayBeOf(report) })
 }
 
 // start identifies the process of the target; empty if there is none.
@@ -88,15 +90,17 @@
 // sequence, since a delayed one may arrive after a report of the next process.
 func (r Registration) Take(report Report, now time.Time) (Registration, Verdict) {
 	if r.Report.Instance == "" {
-		next := r.registered(report, now)
-		next.Unverified = true
-		return next, Replaced
+		return r.registered(report, now).unverified(now), Replaced
 	}
 	if report.BornMS < r.Report.BornMS {
 		return r, Late
 	}
 	if report.BornMS > r.Report.BornMS {
-		return r.registered(report, now), Replaced
+		next := r.registered(report, now)
+		if r.mayHaveLeft(report) {
+			next = next.unverified(now)
+		}
+		return next, Replaced
 	}
 	if report.Instance != r.Report.Instance && r.State == endpoint.NoTarget {
 		return r.replacedWithin(report, now), Replaced
@@ -108,16 +112,21 @@
 // them is the later one is not known, so it is verified, and the other one's leave is kept.
 func (r Registration) replacedWithin(report Report, now time.Time) Registration {
 	if r.Leaving {
-		r, _ = Registration{leaves: r.leaves}.Leave(r.Report.Instance, now)
+		// One id more does not matter here: without it, a target that has left would get requests.
+		r.leaves = append(slices.Clone(r.leaves), leave{instance: r.Report.Instance, bornMS: r.Report.BornMS, at: now})
 	}
-	next := r.registered(report, now)
-	next.Unverified = true
-	return next
+	return r.registered(report, now).unverified(now)
 }
 
-// renewalsMin is the number of reports after the first which show that a target has not left, since a target that left
-// sends none.
-const renewalsMin = 2
+// unverified returns the registration of a process that may have left.
+func (r Registration) unverified(now time.Time) Registration {
+	r.Unverified, r.unverifiedSince = true, now
+	return r
+}
+
+// reportDelayMax is how late a report may arrive. A target that has left sends none, so a report that arrives later than this
+// after it may have left shows that it has not.
+const reportDelayMax = 6 * time.Second
 
 // Verify returns the registration after the target was queried.
 func (r Registration) Verify(instance string, serving bool) (Registration, Verdict) {
@@ -143,8 +152,8 @@
 	}
 	report.Draining = report.Draining || r.Leaving
 	next := r.registered(report, now)
-	next.renewals = r.renewals + 1
-	next.Unverified = r.Unverified && next.renewals < renewalsMin
+	next.Unverified = r.Unverified && now.Sub(r.unverifiedSince) < reportDelayMax
+	next.unverifiedSince = r.unverifiedSince
 	unchanged := report
 	unchanged.Sequence, unchanged.ColdLeft = r.Report.Sequence, r.Report.ColdLeft
 	if unchanged == r.Report && next.Usable() == r.Usable() {
@@ -157,7 +166,8 @@
 // registered returns the registration of the process that sent a report.
 func (r Registration) registered(report Report, now time.Time) Registration {
 	report.Draining = report.Draining || r.hasLeft(report)
-	next := Registration{Report: report, State: endpoint.Alive, Heard: now, WarmAt: now.Add(report.ColdLeft), leaves: r.leaves}
+	next := Registration{Report: report, State: endpoint.Alive, Heard: now, WarmAt: now.Add(report.ColdLeft)}
+	next.leaves = without(r.leaves, func(l leave) bool { return l.latestMS() < report.BornMS })
 	if report.Draining {
 		next.State = endpoint.Draining
 		next.Leaving = true
@@ -165,34 +175,47 @@
 	return next
 }
 
-// leavesMax limits the acknowledged leaves of unknown processes that are kept. The oldest gives way.
-const leavesMax = 16
-
-// leave is the acknowledged leave of a process that was not registered at the time.
-type leave struct {
-	instance string
-	at       time.Time
+// Notice is the notice of a process of the target that it leaves.
+type Notice struct {
+	Instance string
+	// BornMS is the start of the process, as in Report; 0 if the notice does not state it.
+	BornMS int64
 }
 
-// Leave returns the registration after the target announced that it leaves. The target completes the requests in flight. The
-// leave also binds later reports of a process that has lapsed, or that is not known because this node has restarted.
-func (r Registration) Leave(instance string, now time.Time) (Registration, Verdict) {
-	if r.Report.Instance != instance {
-		r.leaves = append(slices.Clone(r.leaves), leave{instance: instance, at: now})
-		r.leaves = r.leaves[max(0, len(r.leaves)-leavesMax):]
-		return r, Late
+// Leave returns the registration after a notice. Once it is acknowledged, no new request is sent to the process that leaves: the
+// registered one, or one whose reports arrive later, because they are late or because this node has restarted. A process that
+// started later under the same name takes the address with it, so the registered one gets no requests either. The error is
+// ErrTooManyLeaves; the notice must not be acknowledged then.
+func (r Registration) Leave(n Notice, now time.Time) (Registration, Verdict, error) {
+	isRegistered := n.Instance == r.Report.Instance
+	if isRegistered && n.BornMS != 0 && n.BornMS < r.Report.BornMS {
+		return r, Late, nil
 	}
+	if !isRegistered || n.BornMS != r.Report.BornMS {
+		kept, err := r.keepLeave(n, now)
+		if err != nil {
+			return r, Late, err
+		}
+		r = kept
+	}
+	if !isRegistered {
+		return r, Late, nil
+	}
+	next, verdict := r.leave(now)
+	return next, verdict, nil
+}
+
+// leave returns the registration after the registered process has announced that it leaves. It completes the requests in flight.
+func (r Registration) leave(now time.Time) (Registration, Verdict) {
 	if r.Leaving {
 		return r, Renewed
 	}
+	r.Leaving = true
+	r.Report.Draining = true
 	if r.State == endpoint.NoTarget {
-		r.Leaving = true
-		r.Report.Draining = true
 		return r, Renewed
 	}
 	r.State = endpoint.Draining
-	r.Leaving = true
-	r.Report.Draining = true
 	r.Heard = now
 	return r, Changed
 }
