--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -72,7 +72,8 @@
 type node struct {
 	run *run
 	id  int
-	ip  string
+	// domain is the failure domain of the node and its target.
+	domain, ip string
 	// storeLink, peerLink and targetLink are the ways to the store, of other nodes to this one, and to the target.
 	storeLink, peerLink, targetLink *proxy
 	settingsFile                    string
@@ -176,7 +177,7 @@
 }
 
 func (r *run) startNode(id int) (*node, error) {
-	n := &node{run: r, id: id, ip: r.addresses.ip(id)}
+	n := &node{run: r, id: id, domain: fmt.Sprintf("d%d", id%r.domains), ip: r.addresses.ip(id)}
 	var err error
 	if n.storeLink, err = startProxy(n.ip+":7101", r.store.Address()); err != nil {
 		return nil, err
@@ -192,7 +193,7 @@
 name = n%[1]d
 cluster = soak
 region = r
-failure_domain = d%[2]d
+failure_domain = %[2]s
 shutdown_timeout = 4s
 [listen]
 peer = %[3]s:7202
@@ -212,7 +213,7 @@
 [target]
 service = %[4]s
 announce_lease = 1s
-`, id, id%r.domains, n.ip, service, r.followers)
+`, id, n.domain, n.ip, service, r.followers)
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -311,7 +312,7 @@
 func (n *node) startTarget() error {
 	n.starts++
 	settings := platform.TargetSettings{
-		Instance: fmt.Sprintf("i-%d-%d", n.id, n.starts), Service: service, Zone: "z", Listen: n.ip + ":7203",
+		Instance: fmt.Sprintf("i-%d-%d", n.id, n.starts), Service: service, Zone: n.domain, Listen: n.ip + ":7203",
 		Reported: n.targetLink.address(), Control: n.ip + ":7205", Slots: 6, Work: 10 * time.Millisecond, Beat: beat,
 		Seed: n.run.settings.Seed, CrashPath: crashPath, Crashed: n.targetCrashed,
 	}
