Read the state in the store until it is known, and merge it then

Cause: Keeper.Restore gave up after 1 s, "not known" passed for "none", and nothing read the counts again. Keeper.Run then replaced the record of earlier processes by what this process had counted.

Change: firstread.Until repeats a read until it succeeds, with quick and patient calls side by side. The record of a node is written only after it was read. A node states counts of others that it has read in its endpoint entry, so that a node that gets the configuration from a peer gets them with it. The same cause: records of rollouts are read in the same way, and each fourth attempt to list the directory may take 4 s.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -101,7 +101,9 @@
 func (l *Loop) inheritCrashes(seen endpoint.Entry, now time.Time) {
 	next := l.self
 	if next.InheritCrashes(&seen, now) {
-		l.updateOwnEntry(func(e *endpoint.Entry) { e.Crashes, e.Cleared = next.Crashes, next.Cleared }, now)
+		l.updateOwnEntry(func(e *endpoint.Entry) {
+			e.Crashes, e.Cleared, e.Recovered = next.Crashes, next.Cleared, next.Recovered
+		}, now)
 	}
 }
 
--- a/server/coordination/crashrecords/crashrecords.go
+++ b/server/coordination/crashrecords/crashrecords.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"wagtailford.example/server/coordination/firstread"
 	"wagtailford.example/server/state/endpoint"
 )
 
@@ -27,11 +28,8 @@
 }
 
 const (
-	// callTimeout limits one call to the store. A slow store answers within some tenths of a second.
+	// callTimeout limits one write to the store. A slow store answers within some tenths of a second.
 	callTimeout = time.Second
-	// restoreTimeout limits Restore. A node whose store does not answer gets the counts from other nodes, together with its
-	// configuration.
-	restoreTimeout = time.Second
 	// retryInterval is the time after a failed call.
 	retryInterval = 100 * time.Millisecond
 	// reviewInterval is the time between two comparisons while counts apply: they expire, and other nodes clear them.
@@ -72,29 +70,17 @@
 	k.Changed()
 }
 
-// Restore reads the records of all nodes. It returns none if the store does not answer in time. It must be called before Run.
-func (k *Keeper) Restore(ctx context.Context) []Record {
-	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
-	defer cancel()
-	for {
-		records, err := k.list(ctx)
-		if err == nil {
-			k.noteWritten(records)
-			return records
-		}
-		select {
-		case <-ctx.Done():
-			k.logger.WithError(err).WithField("event", "crash_counts_not_restored").Warn("crash counts not restored from the store")
-			return nil
-		case <-time.After(retryInterval):
-		}
+// Restore reads the records of all nodes, for as long as it takes; ok is false if ctx has ended before. It must have succeeded
+// before Run is called: Run replaces the record of this node, which may hold more than this process knows.
+func (k *Keeper) Restore(ctx context.Context) (records []Record, ok bool) {
+	records, ok = firstread.Until(ctx, k.store.List, func(err error) {
+		k.logger.WithError(err).WithField("event", "crash_counts_not_restored").
+			Warn("crash counts not restored from the store yet")
+	})
+	if ok {
+		k.noteWritten(records)
 	}
-}
-
-func (k *Keeper) list(ctx context.Context) ([]Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return k.store.List(ctx)
+	return records, ok
 }
 
 // noteWritten takes over what the store holds for this node.
--- a/server/coordination/execute/crashes_test.go
+++ b/server/coordination/execute/crashes_test.go
@@ -196,6 +196,28 @@
 	assert.Equal(t, m.targets[0].ran("/crash"), 0)
 }
 
+// Guards against a node that cannot read the store after a restart of all nodes and does not learn from another one which requests
+// crash targets, also once that one has restarted; and against a trial at each of them.
+func TestRecoveredCrashCountsReachOtherNodes(t *testing.T) {
+	m := newMesh(t, 3)
+	far := time.Now().Add(time.Hour).UnixMilli()
+	count := endpoint.CrashCount{Digest: suspect.Digest(testService, "POST", "/crash", []byte("b")), Process: 1, Count: 1, ExpiresMS: far}
+	others := []endpoint.CrashCount{count, count, count}
+	for i := range others {
+		others[i].Process = int64(i + 1)
+	}
+	for _, n := range m.nodes[:2] {
+		n.crashes.limits.TrialAfter = 0
+		n.RestoreCrashes(nil, others)
+	}
+	m.start(t, 0, 2)
+	for i, n := range m.nodes {
+		assert.Equal(t, n.Execute(t.Context(), request("/crash")).Reason, outcome.ReasonSuspect, "node %d", i)
+		assert.Equal(t, len(n.CrashCounts()), 0, "a node keeps its own counts in the store, not those of others")
+		assert.Equal(t, m.targets[i].ran("/crash"), 0)
+	}
+}
+
 // Guards against evidence that is lost because the end of a target is noticed late, when other requests have been sent to it in
 // vain; and against evidence from a run that a later response, or an earlier end, clears of the crash.
 func TestEvidenceOfACrashThatIsNoticedLate(t *testing.T) {
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -112,10 +112,8 @@
 	pool        *ants.Pool
 	crashes     *crashTracker
 	remoteIndex atomic.Pointer[remoteCrashIndex]
-	// restored holds the crash counts of other nodes that were known to a store at the start.
-	restored  atomic.Pointer[endpoint.Entry]
-	attempts  attempts
-	condition condition
+	attempts    attempts
+	condition   condition
 
 	mu     sync.Mutex
 	target Target
@@ -154,7 +152,6 @@
 		target:   Target{Refuse: outcome.ReasonNoTarget},
 	}
 	e.Gate.OnCapacity(e.reportUnanswered)
-	e.restored.Store(&endpoint.Entry{})
 	e.crashes = newCrashTracker(s.Suspects, e.currentRemoteIndex, e.publishCrashes)
 	return e, nil
 }
@@ -422,8 +419,7 @@
 	v := e.deps.View()
 	cached := e.remoteIndex.Load()
 	if cached == nil || cached.view != v {
-		entries := append(slices.Collect(maps.Values(v.Nodes)), e.restored.Load())
-		index := suspect.NewIndex(slices.Values(entries), e.settings.Node, e.crashes.ownLedger().Process)
+		index := suspect.NewIndex(maps.Values(v.Nodes), e.settings.Node, e.crashes.ownLedger().Process)
 		cached = &remoteCrashIndex{view: v, index: index}
 		e.remoteIndex.Store(cached)
 	}
@@ -450,11 +446,14 @@
 }
 
 // RestoreCrashes takes over crash counts that were stored before this process started: those of earlier processes of this
-// node, and those of other nodes, which other nodes may have forgotten. It must be called before the first request.
+// node, and those of other nodes, which other nodes may have forgotten. The endpoint entry of this node passes them on to nodes
+// that cannot read the store. Counts that were made or learned meanwhile are kept.
 func (e *Executor) RestoreCrashes(own, others []endpoint.CrashCount) {
-	e.restored.Store(&endpoint.Entry{Crashes: others})
-	e.remoteIndex.Store(nil)
-	e.deps.UpdateSelf(func(entry *endpoint.Entry) { entry.InheritCrashes(&endpoint.Entry{Crashes: own}, time.Now()) })
+	// A count without a process is from an older build. Stated by several nodes, it would count several times.
+	others = slices.DeleteFunc(slices.Clone(others), func(c endpoint.CrashCount) bool { return c.Process == 0 })
+	e.deps.UpdateSelf(func(entry *endpoint.Entry) {
+		entry.InheritCrashes(&endpoint.Entry{Crashes: own, Recovered: others}, time.Now())
+	})
 }
 
 // CrashCounts returns the crash counts of this node, of all its processes, that apply, sorted.
--- a/server/coordination/rollout/manager.go
+++ b/server/coordination/rollout/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"wagtailford.example/server/coordination/firstread"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/endpoint"
@@ -210,31 +211,46 @@
 	return !state.Final() || (config.Position(had.Position).Era() != config.Position(o.Position).Era() && had.Duration == o.Duration)
 }
 
-// Restore reads the records of the store, so that a node that starts knows the versions that serve. It returns after a
-// second if the store does not answer.
+// Restore reads the records of the store, however long it takes, so that a node that starts knows the versions that serve.
 func (m *Manager) Restore(ctx context.Context) {
-	if err := m.list(ctx); err != nil {
-		m.deps.Log.WithError(err).WithField("event", "rollouts_not_restored").Warn("rollout records not read from the store")
+	records, ok := firstread.Until(ctx, m.list, func(err error) {
+		m.deps.Log.WithError(err).WithField("event", "rollouts_not_restored").Warn("rollout records not read from the store yet")
+	})
+	if ok {
+		m.takeRecords(records)
 	}
 }
 
-func (m *Manager) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+func (m *Manager) list(ctx context.Context) ([]Record, error) {
 	records, _, err := m.deps.Store.List(ctx)
 	if err != nil {
 		m.counters.storeFailed.Add(1)
-		return err
 	}
+	return records, err
+}
+
+// refresh reads the records once.
+func (m *Manager) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if records, err := m.list(ctx); err == nil {
+		m.takeRecords(records)
+	}
+}
+
+func (m *Manager) takeRecords(records []Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range records {
+		// A read that took long may return after a later one.
+		if known, ok := m.records[r.Service]; ok && known.isLaterThan(&r) {
+			continue
+		}
 		m.records[r.Service] = r
 		if s := (*m.senders.Load())[r.Service]; s != nil {
 			s.HandleRecord(&r)
 		}
 	}
-	return nil
 }
 
 // Run applies and decides orders until ctx ends.
@@ -375,7 +391,7 @@
 	}
 	m.listing, m.listed = true, now
 	m.work.Go(func() {
-		_ = m.list(ctx) // Counted; read again after the interval.
+		m.refresh(ctx)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.listing = false
--- a/server/coordination/rollout/manager_test.go
+++ b/server/coordination/rollout/manager_test.go
@@ -370,3 +370,31 @@
 		assert.Equal(t, f.store.record("s").State, "completed")
 	})
 }
+
+// Guards against a node that starts while the store is away, gives up reading the records, and sends requests to a version that was
+// rolled back; and against a slow read that replaces a later record.
+func TestRolloutRecordsAreReadAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		record := Record{
+			Service: ordered.Service, Order: ordered.Position, Target: ordered.TargetVersion, State: wire.RolloutRolledBack.String(), Revision: 2,
+		}
+		store := &fakeStore{down: true, records: map[string]Record{ordered.Service: record}}
+		m := NewManager(testSettings, Dependencies{
+			Node: "a", Log: &log.Logger{Handler: &logLines{seen: make(map[string]bool)}}, Store: store, Random: func() uint64 { return 0 },
+		})
+		go m.Restore(t.Context())
+		time.Sleep(time.Minute)
+		store.mu.Lock()
+		store.down = false
+		store.mu.Unlock()
+		time.Sleep(time.Second)
+		order := ordered
+		assert.Equal(t, m.sender(&order).State(), wire.RolloutRolledBack)
+		earlier := record
+		earlier.Revision, earlier.State = 1, wire.RolloutRunning.String()
+		m.takeRecords([]Record{earlier})
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		assert.DeepEqual(t, m.records[ordered.Service], record)
+	})
+}
--- a/server/coordination/rollout/rollout.go
+++ b/server/coordination/rollout/rollout.go
@@ -100,6 +100,14 @@
 	return r.Base.without(r.Target)
 }
 
+// isLaterThan reports whether a record was written after another one of its service.
+func (r *Record) isLaterThan(other *Record) bool {
+	if r.Order != other.Order {
+		return r.Order > other.Order
+	}
+	return r.Revision > other.Revision
+}
+
 // belongsTo reports whether the record is about an order. An order that a restored store holds at another position is the
 // same one.
 func (r *Record) belongsTo(o config.Rollout) bool {
--- a/server/daemon/discovery.go
+++ b/server/daemon/discovery.go
@@ -14,10 +14,21 @@
 const (
 	// discoveryInterval is the time between two attempts to publish this node or to find others while it knows none.
 	discoveryInterval = 500 * time.Millisecond
-	// directoryTimeout limits one call to the directory.
+	// directoryTimeout limits one call to the directory, patientTimeout each patientInterval-th attempt to list it, for a store
+	// that takes longer to answer.
 	directoryTimeout = time.Second
+	patientTimeout   = 4 * time.Second
+	patientInterval  = 4
 )
 
+// listTimeout returns the limit of an attempt to list the directory after a number of failed ones.
+func listTimeout(failures int) time.Duration {
+	if failures%patientInterval == patientInterval-1 {
+		return patientTimeout
+	}
+	return directoryTimeout
+}
+
 // discover publishes this node in the directory and, while it knows no other node, lists the directory. A node publishes
 // itself first, so that of two nodes that start together at least one finds the other.
 func (h *Hosted) discover(ctx context.Context) {
@@ -26,6 +37,7 @@
 	var published time.Time
 	listed := false
 	failing := false
+	failures := 0
 	for {
 		var err error
 		if h.republish.Swap(false) {
@@ -37,10 +49,13 @@
 			}
 		}
 		if err == nil && (!listed || h.control.KnowsNoPeer()) {
-			err = h.findNodes(ctx)
+			err = h.findNodes(ctx, listTimeout(failures))
 			listed = err == nil
 		}
-		if err != nil {
+		failures++
+		if err == nil {
+			failures = 0
+		} else {
 			h.sourceReader.followRoles()
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
@@ -68,8 +83,8 @@
 	})
 }
 
-func (h *Hosted) findNodes(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+func (h *Hosted) findNodes(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	records, err := h.platform.Directory().List(ctx)
 	if err != nil {
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -122,6 +122,8 @@
 	closing atomic.Bool
 	// lagging is true while the node lacks a configuration that it knows to exist.
 	lagging atomic.Bool
+	// restored is closed once the state that earlier processes left in the store is known.
+	restored chan struct{}
 	// republish is set when the record in the directory has to be written again.
 	republish atomic.Bool
 	// work waits for the goroutines that end with the node's context.
@@ -132,7 +134,7 @@
 func NewHosted(s *settings.Settings, p Platform) (*Hosted, error) {
 	debug.SetMemoryLimit(s.Node.MemoryLimit)
 	debug.SetGCPercent(collectPercentMin)
-	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p, sourceReader: newSourceReader()}
+	h := &Hosted{core: core{settings: s, started: time.Now()}, platform: p, sourceReader: newSourceReader(), restored: make(chan struct{})}
 	h.live.Store(s)
 	h.observer = newObserver(log.Log, func() uint64 { return h.control.NewestOffset() })
 	h.callerBytes = newCallerBytes(s.Limits.CallerBytesMax)
@@ -168,7 +170,7 @@
 	h.control.OnLag(h.lagChanged)
 	h.control.OnStoreEra(h.platform.ObserveStoreEra)
 	h.platform.OnStoreRestored(h.storeRestored)
-	h.follower = follow.NewSourceFollower(h.platform.Source(h.control.State), h.control, follow.SourceFollowerSettings{
+	h.follower = follow.NewSourceFollower(h.platform.Source(h.control.State), &restoredSink{SourceSink: h.control, restored: h.restored}, follow.SourceFollowerSettings{
 		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, CoalesceDelay: sourceCoalesceDelay,
 	}, log.Log)
 	return nil
@@ -361,18 +363,8 @@
 	publishMetrics(h)
 	h.work.Go(func() { h.control.Run(background) })
 	h.work.Go(func() { h.syncer.Run(background) })
-	h.work.Go(func() {
-		// A node that has a configuration takes requests, so it learns first which of them crash targets.
-		// It also learns which versions of a service may serve.
-		var rollouts sync.WaitGroup
-		if h.settings.Rollout.Restore {
-			rollouts.Go(func() { h.rollouts.Restore(background) })
-		}
-		h.restoreCrashes(background)
-		rollouts.Wait()
-		h.work.Go(func() { h.rollouts.Run(background) })
-		h.sourceReader.run(background, h.follower.Run)
-	})
+	h.work.Go(func() { h.restore(background) })
+	h.work.Go(func() { h.sourceReader.run(background, h.follower.Run) })
 	h.work.Go(func() { h.registrar.Run(background) })
 	h.work.Go(func() { h.quota.Run(background) })
 	h.work.Go(func() { h.discover(background) })
@@ -391,20 +383,6 @@
 	return errors.Join(err, h.stop(stop))
 }
 
-// restoreCrashes takes over the crash counts that the store holds, and keeps those of this node there from then on.
-func (h *Hosted) restoreCrashes(ctx context.Context) {
-	var own, others []endpoint.CrashCount
-	for _, r := range h.crashRecords.Restore(ctx) {
-		if r.Node == h.settings.Node.Name {
-			own = append(own, r.Crashes...)
-		} else {
-			others = append(others, r.Crashes...)
-		}
-	}
-	h.executor.RestoreCrashes(own, others)
-	h.work.Go(func() { h.crashRecords.Run(ctx) })
-}
-
 // stop keeps serving callers and the target for the leave delay, finishes the requests in flight, and then closes all
 // connections. The target may outlive the process, so its slots are used until the callers have left.
 func (h *Hosted) stop(stopBackground func()) error {
--- a/server/state/endpoint/crashes.go
+++ b/server/state/endpoint/crashes.go
@@ -77,18 +77,22 @@
 func (e *Entry) joinCrashes(other *Entry) {
 	e.Crashes = JoinCrashes(e.Crashes, other.Crashes)
 	e.Cleared = JoinCleared(e.Cleared, other.Cleared)
+	e.Recovered = JoinCrashes(e.Recovered, other.Recovered)
 }
 
 // expireCrashes removes the counts and clearances that no longer apply.
 func (e *Entry) expireCrashes(now time.Time) {
 	nowMS := now.UnixMilli()
-	e.Crashes = slices.DeleteFunc(slices.Clone(e.Crashes), func(c CrashCount) bool { return c.ExpiresMS <= nowMS })
+	isOver := func(c CrashCount) bool { return c.ExpiresMS <= nowMS }
+	e.Crashes = slices.DeleteFunc(slices.Clone(e.Crashes), isOver)
+	e.Recovered = slices.DeleteFunc(slices.Clone(e.Recovered), isOver)
 	e.Cleared = slices.DeleteFunc(slices.Clone(e.Cleared), func(c Clearance) bool { return c.UpToMS <= nowMS })
 }
 
 // sameCrashes reports whether two values of an entry carry the same counts and clearances.
 func (e *Entry) sameCrashes(other *Entry) bool {
-	return slices.Equal(e.Crashes, other.Crashes) && slices.Equal(e.Cleared, other.Cleared)
+	return slices.Equal(e.Crashes, other.Crashes) && slices.Equal(e.Cleared, other.Cleared) &&
+		slices.Equal(e.Recovered, other.Recovered)
 }
 
 // InheritCrashes takes over the counts and clearances of another value of the entry that still apply, and reports whether
--- a/server/state/endpoint/types.go
+++ b/server/state/endpoint/types.go
@@ -79,6 +79,9 @@
 	// they state. A clearance applies to the counts of all nodes. Both outlive the process.
 	Crashes []CrashCount
 	Cleared []Clearance
+	// Recovered are crash counts of other nodes that a process of this node has read from a store. After a restart of all nodes,
+	// a node that cannot read the store learns them from here.
+	Recovered []CrashCount
 }
 
 // Upper bounds of the encoding between nodes, in bytes: of an entry without its texts and lists, and of their elements.
@@ -91,7 +94,7 @@
 
 // encodedSize returns an upper bound of the encoded size of an entry, in bytes.
 func (e *Entry) encodedSize() int {
-	size := entryBytes + len(e.Crashes)*crashBytes + len(e.Cleared)*clearanceBytes
+	size := entryBytes + (len(e.Crashes)+len(e.Recovered))*crashBytes + len(e.Cleared)*clearanceBytes
 	for _, text := range [...]string{
 		e.Node, e.Address, e.FailureDomain, e.Region, e.Service, e.TargetAddress, e.TargetStart, e.SoftwareVersion, e.Parent,
 	} {
--- a/server/state/suspect/suspect.go
+++ b/server/state/suspect/suspect.go
@@ -72,6 +72,7 @@
 		} else {
 			remote = append(remote, e.Crashes...)
 		}
+		remote = append(remote, e.Recovered...)
 		for _, c := range e.Cleared {
 			x.cleared[c.Digest] = max(x.cleared[c.Digest], c.UpToMS)
 		}
