Soak: draw odd reports, early leaves of restarted targets and kills without the store

A target crashes, starts again under its name, and leaves, with or without its start in the notice, while its reports are up to 3 s late. All nodes are killed at once while the store is away for up to 4 s, and a request that ends targets comes again when nodes and store count as undisturbed.

--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -32,9 +32,9 @@
 	Slots    int
 	// Work is the mean time that a request takes.
 	Work time.Duration
-	// Beat is the time between two reports.
-	Beat time.Duration
-	Seed uint64
+	// Beat is the time between two reports, ReportDelay how late each of them arrives, also if the target has ended meanwhile.
+	Beat, ReportDelay time.Duration
+	Seed              uint64
 	// CrashPath is the path of requests that crash the target when it begins to run them; empty for none. Crashed is called in a
 	// goroutine of its own and must call Crash.
 	CrashPath string
@@ -186,12 +186,19 @@
 }
 
 // Leave tells the node that the target is gone, with or without a drain before. It serves on, and reports no more.
-func (t *Target) Leave() bool {
+func (t *Target) Leave() bool { return t.notifyLeaving(nil) }
+
+// LeaveWithStart is Leave with a notice that states the start of the target.
+func (t *Target) LeaveWithStart() bool {
+	return t.notifyLeaving(fmt.Appendf(nil, `{"born":%d}`, t.born))
+}
+
+func (t *Target) notifyLeaving(notice []byte) bool {
 	t.mu.Lock()
 	t.state = "draining"
 	t.mu.Unlock()
 	t.stop()
-	req, err := http.NewRequest(http.MethodDelete, t.reportURL(), nil)
+	req, err := http.NewRequest(http.MethodDelete, t.reportURL(), bytes.NewReader(notice))
 	return err == nil && t.acknowledged(req)
 }
 
@@ -210,7 +217,12 @@
 	ticker := time.NewTicker(t.settings.Beat)
 	defer ticker.Stop()
 	for {
-		t.report()
+		if t.settings.ReportDelay > 0 {
+			report := t.encodeReport()
+			time.AfterFunc(t.settings.ReportDelay, func() { t.deliver(report) })
+		} else {
+			t.report()
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -219,20 +231,27 @@
 	}
 }
 
-func (t *Target) report() bool {
+func (t *Target) report() bool { return t.deliver(t.encodeReport()) }
+
+// encodeReport returns the next report.
+func (t *Target) encodeReport() []byte {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.sequence++
 	body := map[string]any{
 		"address": t.reported(), "born": t.born,
 		"info":   map[string]any{"service": t.settings.Service, "version": cmp.Or(t.settings.Version, "v1"), "zone": t.settings.Zone, "slots": t.settings.Slots},
 		"status": map[string]any{"state": t.state, "sequence": t.sequence, "cold-left-s": 0},
 	}
-	t.mu.Unlock()
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err) // The map above can always be encoded.
 	}
-	req, err := http.NewRequest(http.MethodPut, t.reportURL(), bytes.NewReader(data))
+	return data
+}
+
+func (t *Target) deliver(report []byte) bool {
+	req, err := http.NewRequest(http.MethodPut, t.reportURL(), bytes.NewReader(report))
 	return err == nil && t.acknowledged(req)
 }
 
--- a/standin/soak/conditions.go
+++ b/standin/soak/conditions.go
@@ -48,6 +48,13 @@
 	})
 }
 
+// isDisturbed is wasDisturbed while the run goes on.
+func (c *check) isDisturbed(node int, from, to time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wasDisturbed(node, from, to)
+}
+
 // told returns when each node first passed on a response to one of the arrivals.
 func (c *check) told(arrivals []platform.Arrival) map[int]time.Time {
 	first := make(map[int]time.Time)
--- a/standin/soak/incidents.go
+++ b/standin/soak/incidents.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +22,12 @@
 	crashedTime = 300 * time.Millisecond
 	// incidentGapMax is the longest pause between two incidents.
 	incidentGapMax = 1500 * time.Millisecond
+	// reportDelayMax is how late a report may arrive, storeAwayMax how long the store is away after all nodes were killed.
+	reportDelayMax = 3 * time.Second
+	storeAwayMax   = 4 * time.Second
+	// claimBound limits the wait for the ends of other faults of all nodes, stableStoreBound that for a stable store.
+	claimBound       = 6 * time.Second
+	stableStoreBound = 8 * time.Second
 	// burstCalls are sent to a node at once, more than its target has slots.
 	burstCalls = 16
 )
@@ -46,6 +49,8 @@
 		wg.Wait()
 	}},
 	{"report of another writer", func(_ *run, n *node, random *rand.Rand) { n.sendOddReport(random) }},
+	{"restarted target leaves before its reports arrive", leaveBeforeReports},
+	{"all nodes are killed while the store is away", killAllWithoutStore},
 	{"slow target drains", func(r *run, n *node, random *rand.Rand) {
 		wait := time.Duration(random.Int64N(int64(500 * time.Millisecond)))
 		leave := []func(*platform.Target) bool{(*platform.Target).Drain, (*platform.Target).Leave}[random.IntN(2)]
@@ -82,35 +87,104 @@
 	}
 }
 
-// sendOddReport sends what another writer may send to the node: it names no target to use.
-func (n *node) sendOddReport(random *rand.Rand) {
-	target := n.current()
-	born := time.Now().UnixMilli()
-	odd := func(service, state string, sequence uint64) string {
-		return fmt.Sprintf(`{"address":"%s:9","born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":6},"status":{"state":%q,"sequence":%d,"cold-left-s":0}}`,
-			n.ip, born, service, state, sequence)
-	}
-	bodies := []string{
-		odd("nosuch", "ready", 1), odd("nosuch", "ready", 1<<63), odd(service, "resting", 1), `{"born":"x"}`, "\xff\x00",
-		fmt.Sprintf(`{"address":"%s:9","info":{"service":%q},"status":{"state":"ready"}}`, n.ip, service), strings.Repeat("[", 1000),
-	}
-	instance := []string{"i-other", target.Instance()}[random.IntN(2)]
-	method := http.MethodPut
-	body := bodies[random.IntN(len(bodies))]
-	if random.IntN(len(bodies)) == 0 {
-		method, instance, body = http.MethodDelete, "i-other", ""
-	}
-	req, err := http.NewRequest(method, "http://"+n.ip+":7205/instances/"+instance, strings.NewReader(body))
-	if err != nil {
-		panic(err) // The URL is well formed.
-	}
-	client := http.Client{Timeout: time.Second}
-	if resp, err := client.Do(req); err == nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
+// leaveBeforeReports crashes a target and starts it again under its name, with late reports. It leaves while they are on their way,
+// and serves on until the last of them has arrived.
+func leaveBeforeReports(r *run, n *node, random *rand.Rand) {
+	delay := time.Duration(random.Int64N(int64(reportDelayMax)))
+	wait := time.Duration(random.Int64N(int64(delay) + 1))
+	leave := []func(*platform.Target) bool{(*platform.Target).Leave, (*platform.Target).LeaveWithStart}[random.IntN(2)]
+	n.exclusively(func() {
+		first := n.current()
+		first.Crash()
+		r.check.ended(first)
+		if err := n.startTargetAs(first.Instance(), delay); err != nil {
+			r.check.fault("START", err.Error())
+			return
+		}
+		second := n.current()
+		time.Sleep(wait)
+		if leave(second) {
+			r.check.acknowledged(second.Instance())
+		}
+		time.Sleep(delay + drainBound)
+		second.Crash()
+		if err := n.startTarget(); err != nil {
+			r.check.fault("START", err.Error())
+			return
+		}
+		r.check.ended(second)
+	})
+}
+
+// killAllWithoutStore kills all nodes at once while the store is away. If it has been away just before, counts of crashes may be
+// known to the nodes only, and nothing can bring them back. The request that ends targets comes again only when the nodes and the
+// store count as undisturbed: runs before are excused, and would make the nodes count anew.
+func killAllWithoutStore(r *run, _ *node, random *rand.Rand) {
+	mode := platform.Mode(1 + random.IntN(4))
+	away := time.Duration(random.Int64N(int64(storeAwayMax)))
+	if !r.killingAll.TryLock() {
+		return
+	}
+	defer r.killingAll.Unlock()
+	claimed, all := r.claimAll()
+	defer func() {
+		for _, n := range claimed {
+			n.release()
+		}
+	}()
+	if !all || !r.awaitStableStore() {
+		return
+	}
+	r.crashingPauses.Add(1)
+	fmt.Fprintf(r.settings.Out, "seed=%d all nodes end, store away for=%v mode=%d\n", r.settings.Seed, away.Round(time.Millisecond), mode)
+	defer r.crashingPauses.Add(-1)
+	endAway := r.check.disturb(storeID)
+	r.store.SetFaults(platform.Faults{Mode: mode})
+	var wg sync.WaitGroup
+	for _, n := range r.nodes {
+		wg.Go(func() {
+			defer r.check.disturb(n.id)()
+			n.restart(syscall.SIGKILL)
+		})
+	}
+	wg.Wait()
+	time.Sleep(away)
+	r.store.SetFaults(platform.Faults{})
+	endAway()
+	if !r.awaitStableStore() {
+		return
+	}
+	for i := range 2 * len(r.nodes) {
+		r.send(context.Background(), r.nodes[i%len(r.nodes)], r.check.nextWith(crashPath, "crash"))
 	}
 }
 
+// awaitStableStore waits until the store has not been disturbed for a while, and reports whether that came in time.
+func (r *run) awaitStableStore() bool {
+	for end := time.Now().Add(stableStoreBound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if now := time.Now(); !r.check.isDisturbed(storeID, now.Add(-stability), now) {
+			return true
+		}
+	}
+	return false
+}
+
+// claimAll claims all nodes, and reports whether it could.
+func (r *run) claimAll() (claimed []*node, all bool) {
+	for end := time.Now().Add(claimBound); len(claimed) < len(r.nodes); {
+		n := r.nodes[len(claimed)]
+		switch {
+		case n.claim():
+			claimed = append(claimed, n)
+		case time.Now().After(end):
+			return claimed, false
+		default:
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return claimed, true
+}
+
 // burst sends calls to a node at once, each on a connection of its own, and does not wait for their ends.
 func (r *run) burst(n *node) {
 	for range burstCalls {
@@ -137,6 +211,10 @@
 // sendCrashing sends the request that ends targets again and again, each time through another node.
 func (r *run) sendCrashing(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
+		if r.crashingPauses.Load() > 0 {
+			time.Sleep(crashingInterval)
+			continue
+		}
 		n := r.nodes[i%len(r.nodes)]
 		call := r.check.nextWith(crashPath, "crash")
 		r.send(context.WithoutCancel(ctx), n, call)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -66,6 +66,10 @@
 	bursts sync.WaitGroup
 	// over is true once no target is replaced any more.
 	over atomic.Bool
+	// killingAll is held while all nodes are being killed.
+	killingAll sync.Mutex
+	// crashingPauses is above 0 while the request that ends targets is not sent.
+	crashingPauses atomic.Int32
 }
 
 // node is one process with its target and the links that it uses.
@@ -212,8 +216,9 @@
 reconnect_jitter = 50ms
 [target]
 service = %[4]s
+address = %[6]s
 announce_lease = 1s
-`, id, n.domain, n.ip, service, r.followers)
+`, id, n.domain, n.ip, service, r.followers, n.targetLink.address())
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -308,11 +313,16 @@
 // listener from fork to exec, which keeps the address in use.
 const addressBound = 2 * time.Second
 
-// startTarget starts the next target beside the node. Its address is that of the link to it.
+// startTarget starts the next target beside the node.
 func (n *node) startTarget() error {
 	n.starts++
+	return n.startTargetAs(fmt.Sprintf("i-%d-%d", n.id, n.starts), 0)
+}
+
+// startTargetAs starts a target under a name, with reports that are late by a time. Its address is that of the link to it.
+func (n *node) startTargetAs(instance string, reportDelay time.Duration) error {
 	settings := platform.TargetSettings{
-		Instance: fmt.Sprintf("i-%d-%d", n.id, n.starts), Service: service, Zone: n.domain, Listen: n.ip + ":7203",
+		Instance: instance, ReportDelay: reportDelay, Service: service, Zone: n.domain, Listen: n.ip + ":7203",
 		Reported: n.targetLink.address(), Control: n.ip + ":7205", Slots: 6, Work: 10 * time.Millisecond, Beat: beat,
 		Seed: n.run.settings.Seed, CrashPath: crashPath, Crashed: n.targetCrashed,
 	}
