--- a/server/coordination/announce/registrar.go
+++ b/server/coordination/announce/registrar.go
@@ -144,14 +144,14 @@
 	if !r.expects(report.Service, current.Service, identity.Service) {
 		return fmt.Errorf("%w: %.64q", ErrUnknownService, report.Service)
 	}
-	if !isStated(identity.Address, report.Address) || !isStated(identity.FailureDomain, report.FailureDomain) {
+	if !matchesSetting(identity.Address, report.Address) || !matchesSetting(identity.FailureDomain, report.FailureDomain) {
 		return fmt.Errorf("%w: %.64q in %.64q", ErrOtherVM, report.Address, report.FailureDomain)
 	}
 	return nil
 }
 
-// isStated reports whether a value is the one that the settings state, if they state one.
-func isStated(setting, value string) bool { return setting == "" || setting == value }
+// matchesSetting reports whether a reported value is the one that the settings state, if they state one.
+func matchesSetting(setting, value string) bool { return setting == "" || setting == value }
 
 // expects reports whether a process may report a service. If the settings state one, it is the only one, whatever else the
 // configuration names: a VM belongs to one service. Otherwise it is that of the process before, which the configuration need not
