Read heads of responses by the grammar of RFC 9112

Cause: heads were read with the codec of hertz, which is lenient: an invalid length counts as none unless it is the last field, of several lengths the last counts, every transfer coding but identity is chunked, a name is whatever stands before a colon, and a line without a name is left out. Only the status line had a check of our own. That codec's reading was taken for the protocol.

Statuses such as 000 were rejected already; TestInvalidStatusIsNoResponse stays as it is.

Change: readHead is the one parser of heads, also informational ones and those without a body. The names and values are checked with httpguts. What breaks the grammar is ErrMalformed, an ErrCut, so that the connection is closed and the outcome is unknown. docs/design/responses.md states the grammar and what was weighed.

Why it works: every reader of HTTP responses uses this client, and nothing decides on the bytes but the table of that page.

--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -1,8 +1,9 @@
 // Package httpclient sends HTTP/1.1 requests over reused connections, never twice, and reports a response as whole
 // only if its framing proves it.
 //
-// It uses the HTTP/1.1 codec of hertz on connections of its own, because the client of hertz keeps a request running
-// after its context has ended and takes a body that ends with the connection for a whole one.
+// Requests are written by the HTTP/1.1 codec of hertz, on connections of the client's own, because the client of hertz keeps a
+// request running after its context has ended. Responses are read here by the grammar of RFC 9112, and a malformed one is no
+// response: the codec takes what a broken head leaves for a whole message.
 package httpclient
 
 import (
@@ -15,7 +16,6 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	reqI "github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	respI "github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -63,9 +63,6 @@
 	bodyCopies = 4
 )
 
-// bodyUntilClose is the content length that hertz reports for a body that ends with the connection.
-const bodyUntilClose = -2
-
 // Errors of a response. They are wrapped in a *LostError.
 var (
 	// ErrCut means that a response ended before its framing said so, or that its framing cannot prove that it is
@@ -325,7 +322,7 @@
 		resp.SkipBody = true
 	}
 	cn.reader.max = c.limits.HeaderMaxBytes
-	if err := readHeaders(resp, cn.reader); err != nil {
+	if err := c.readHeads(resp, cn.reader); err != nil {
 		return false, err
 	}
 	if resp.MustSkipBody() {
@@ -338,31 +335,27 @@
 // informationalMax limits the informational responses before a final one. A server in trouble sends them without end.
 const informationalMax = 8
 
-// readHeaders reads the headers of the final response and skips informational ones.
-func readHeaders(resp *protocol.Response, r *reader) error {
+// readHeads reads the head of the final response and skips informational ones.
+func (c *Client) readHeads(resp *protocol.Response, r *reader) error {
 	for range informationalMax + 1 {
-		valid := hasValidStatus(r)
-		// ReadHeaders of the codec would read past a status of 100 without a check of the next one.
-		if err := respI.ReadHeader(&resp.Header, r); err != nil {
+		if err := readHead(&resp.Header, r, c.limits.HeaderMaxBytes); err != nil {
 			return cut(r, err)
 		}
-		if !valid {
-			return fmt.Errorf("invalid status line: %w", ErrCut)
-		}
-		status := resp.StatusCode()
-		if status >= 200 {
+		switch status := resp.StatusCode(); {
+		case status >= 200:
 			return nil
-		}
-		if status < 100 || status == 101 {
+		case status == 101:
 			return fmt.Errorf("unexpected status %d: %w", status, ErrCut)
 		}
 	}
 	return fmt.Errorf("more than %d informational responses: %w", informationalMax, ErrCut)
 }
 
-// cut maps an error of the codec to ErrTooLarge, ErrCut, or the error of the connection.
+// cut maps an error of a reader to ErrTooLarge, ErrMalformed, ErrCut, or the error of the connection.
 func cut(r *reader, err error) error {
 	switch {
+	case errors.Is(err, ErrMalformed):
+		return err
 	case errors.Is(err, ErrTooLarge), errors.Is(r.err, ErrTooLarge):
 		return ErrTooLarge
 	case r.err != nil && !errors.Is(r.err, io.EOF):
--- a/server/transport/httpclient/reader.go
+++ b/server/transport/httpclient/reader.go
@@ -1,6 +1,10 @@
 package httpclient
 
-import "io"
+import (
+	"bytes"
+	"fmt"
+	"io"
+)
 
 const (
 	readBufferBytes = 4 << 10
@@ -8,8 +12,7 @@
 	readBufferKeepBytes = 64 << 10
 )
 
-// reader buffers a connection for the codec of hertz. It implements network.Reader and remembers the error that
-// ended the connection.
+// reader buffers a connection and remembers the error that ended it.
 type reader struct {
 	src  io.Reader
 	buf  []byte
@@ -43,6 +46,28 @@
 	return r.buf[r.from : r.from+n], nil
 }
 
+// errLineTooLong means that a line has no end within its limit.
+var errLineTooLong = fmt.Errorf("%w: line", ErrTooLarge)
+
+// readLine consumes a line of at most limit bytes and returns it with its line feed. It is valid until the next read.
+func (r *reader) readLine(limit int) ([]byte, error) {
+	for searched := 0; ; {
+		buffered := r.buf[r.from:r.to]
+		if end := bytes.IndexByte(buffered[searched:], '\n'); end >= 0 && searched+end < limit {
+			line := buffered[:searched+end+1]
+			r.from += len(line)
+			return line, nil
+		}
+		searched = len(buffered)
+		if searched >= limit {
+			return nil, errLineTooLong
+		}
+		if _, err := r.Peek(searched + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // fill reads once into a buffer that has room for n bytes.
 func (r *reader) fill(n int) {
 	if len(r.buf)-r.from < n {
