Read chunks and trailers of responses by the grammar of RFC 9112

And complete answers with chunk extensions, which a recipient must ignore, were lost.

Cause: the codec of hertz reads sizes and trailers. It takes blanks after a size, passes over a second last chunk, and keeps only the verdict on the last field of a trailer; it knows no extensions.

Evidence: TestMalformedChunksAreNoBody, run on, failed in 25 of 93 cases, and TestUnusualResponsesAreWhole in 6 for complete answers with extensions.

Change: chunks.go reads the size line, the line end after the data and the trailer, whose fields are checked like those of a head and dropped. Lines of chunks are limited to 4 KiB, all extensions of a response and its trailer to the limit of a head; TestEndlessBytes holds unchanged.

Why it works: as for heads, only the table of docs/design/responses.md decides. FuzzResponse finds no difference to http.ReadResponse but the named ones.

--- a/server/transport/httpclient/body.go
+++ b/server/transport/httpclient/body.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 
-	"github.com/cloudwego/hertz/pkg/common/utils"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 )
 
 // bodyPartBytes is the size of the parts in which a body is moved from the buffer of the connection. Memory follows the bytes
@@ -16,7 +14,7 @@
 
 // readBody reads the body of a response whose head was read.
 func (c *Client) readBody(resp *protocol.Response, r *reader) error {
-	b := body{response: resp, reader: r, max: c.limits.BodyMaxBytes}
+	b := body{response: resp, reader: r, max: c.limits.BodyMaxBytes, trailerMax: c.limits.HeaderMaxBytes}
 	resp.BodyBuffer().Reset()
 	r.max = max(c.limits.HeaderMaxBytes, bodyPartBytes)
 	var err error
@@ -42,6 +40,8 @@
 	response *protocol.Response
 	reader   *reader
 	max      int
+	// trailerMax limits the bytes of the trailer, and those of all chunk extensions.
+	trailerMax int
 }
 
 // take moves the next n bytes into the body.
@@ -75,30 +75,6 @@
 	return b.reader.Skip(len(part))
 }
 
-// takeChunks reads a body in chunks and its trailer.
-func (b *body) takeChunks() error {
-	for {
-		size, err := utils.ParseChunkSize(b.reader)
-		if err != nil {
-			return err
-		}
-		if size == 0 {
-			break
-		}
-		if err := b.take(size); err != nil {
-			return err
-		}
-		if err := utils.SkipCRLF(b.reader); err != nil {
-			return err
-		}
-	}
-	// The codec takes the end of the connection for the end of a trailer.
-	if err := ext.ReadTrailer(b.response.Header.Trailer(), b.reader); err != nil {
-		return err
-	}
-	return b.reader.err
-}
-
 // takeUntilClose reads a body that ends with an orderly end of the connection. A response without Connection: close does not
 // announce such an end, but nothing else can end it.
 func (b *body) takeUntilClose() error {
