Name malformed answers in outcomes, log and counters

Besides, an operator could not tell a malformed answer from one that was cut off.

Change: the reason answer_malformed, a log line with the cause, and the counter Malformed of Execute, for requests and health checks. Such an end counts like one with a cut answer, for crashes of the target and for its slots.

Why it works: the executor gets no response whose head or body is malformed, so nothing of it is read. The outcome is unknown: an idempotent request goes on and any other is answered with 502.

--- a/server/coordination/execute/codec.go
+++ b/server/coordination/execute/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/ratelimit"
+	"wagtailford.example/server/transport/httpclient"
 )
 
 // ResponseKind classifies a complete response to a request.
@@ -68,7 +70,12 @@
 	req.Header.SetMethod(http.MethodGet)
 	req.Header.SetRequestURI(path)
 	req.Header.SetHost(address)
-	if err := e.client.DoAddress(ctx, address, req, resp, timeout); err != nil {
+	err := e.client.DoAddress(ctx, address, req, resp, timeout)
+	if errors.Is(err, httpclient.ErrMalformed) {
+		e.reportMalformed(err, "", Target{Instance: instance, Address: address})
+		return false
+	}
+	if err != nil {
 		e.deps.Log.WithError(err).WithField("address", address).Info("target health check failed")
 		return false
 	}
--- a/server/coordination/execute/counters.go
+++ b/server/coordination/execute/counters.go
@@ -53,6 +53,7 @@
 	CrashCounts   []endpoint.CrashCount
 	Cleared       []endpoint.Clearance
 	Blocked       int64
+	Malformed     int64
 	Condition     ConditionDump
 	Capacity      CapacityDump
 }
@@ -88,6 +89,7 @@
 		CrashCounts:   e.crashes.ownLedger().Crashes,
 		Cleared:       e.crashes.ownLedger().Cleared,
 		Blocked:       e.Counters.SuspectsBlocked.Load(),
+		Malformed:     e.Counters.Malformed.Load(),
 		Condition:     e.dumpCondition(),
 		Capacity:      CapacityDump{Totals: totals, AfterBreakState: totals.AfterBreak.String()},
 	}
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -97,6 +97,8 @@
 	Overtaken       atomic.Int64
 	Crashes         atomic.Int64
 	SuspectsBlocked atomic.Int64
+	// Malformed counts the malformed responses of the target, also to health checks.
+	Malformed atomic.Int64
 }
 
 // Executor runs requests at the local target.
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/protocol"
 
 	"wagtailford.example/server/coordination/admission"
@@ -72,7 +73,7 @@
 	}
 	err := e.client.DoStreamed(ctx, target.Address, req, body, resp, time.Until(deadline), prepare, matcher)
 	if err != nil {
-		return e.responseForError(err, f, target)
+		return e.responseForError(err, f, r, target)
 	}
 	if kind == ResponseValid || kind == ResponseShed {
 		served := kind == ResponseValid && resp.StatusCode() < statusServerError
@@ -138,7 +139,7 @@
 }
 
 // responseForError returns the response for a request that received no complete response.
-func (e *Executor) responseForError(err error, f *inFlightRequest, target Target) *wire.Response {
+func (e *Executor) responseForError(err error, f *inFlightRequest, r *wire.Request, target Target) *wire.Response {
 	var notSent *httpclient.NotSentError
 	if errors.As(err, &notSent) {
 		e.crashes.unregister(f)
@@ -156,6 +157,11 @@
 		e.crashes.unregister(f)
 		return markArrived(unknown(reason))
 	}
+	reason := outcome.ReasonAnswerCut
+	if errors.Is(err, httpclient.ErrMalformed) {
+		reason = outcome.ReasonAnswerMalformed
+		e.reportMalformed(err, r.RequestID, target)
+	}
 	result := e.crashes.connectionBroken(f, target.Address, e.isLeaving(target.Start))
 	if result.first {
 		e.reportCrash(target.Address)
@@ -163,7 +169,16 @@
 	if result.crashed {
 		return markArrived(unknown(outcome.ReasonTargetCrashed))
 	}
-	return markArrived(unknown(outcome.ReasonAnswerCut))
+	return markArrived(unknown(reason))
+}
+
+// reportMalformed counts and logs a malformed response of the target. request is the identifier of the request, empty for a
+// health check.
+func (e *Executor) reportMalformed(err error, request string, target Target) {
+	e.Counters.Malformed.Add(1)
+	e.deps.Log.WithError(err).WithFields(log.Fields{
+		"event": "answer_malformed", "request": request, "instance": target.Instance, "address": target.Address,
+	}).Warn("malformed response of the target dropped")
 }
 
 // reportCrash handles a crash of the target detected by a request.
--- a/server/coordination/execute/slots.go
+++ b/server/coordination/execute/slots.go
@@ -61,7 +61,7 @@
 	switch r.Reason {
 	case outcome.ReasonUnanswered:
 		return admission.EndUnanswered
-	case outcome.ReasonCanceled, outcome.ReasonTargetTimeout, outcome.ReasonAnswerCut:
+	case outcome.ReasonCanceled, outcome.ReasonTargetTimeout, outcome.ReasonAnswerCut, outcome.ReasonAnswerMalformed:
 		return admission.EndBroken
 	}
 	return admission.EndAnswered
--- a/server/protocol/outcome/outcome.go
+++ b/server/protocol/outcome/outcome.go
@@ -71,6 +71,7 @@
 	ReasonTargetTimeout    Reason = "target_timeout"
 	ReasonAnswerCut        Reason = "answer_cut"
 	ReasonAnswerDropped    Reason = "answer_dropped"
+	ReasonAnswerMalformed  Reason = "answer_malformed"
 	ReasonCanceled         Reason = "canceled"
 	ReasonShutdown         Reason = "shutdown"
 	ReasonRouteChanged     Reason = "route_changed"
--- /dev/null
+++ b/standin/platform/malformed.go
@@ -0,0 +1,96 @@
+package platform
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// malformedStatements is what a malformed head states beside its fault. Nothing of it may be believed.
+const malformedStatements = "Server-Leaving: 1\r\nServer-Limit: 0.001\r\n"
+
+// MalformedAnswers are the forms of TargetFaults.Malformed, by name: what a target writes for a head, whose last line has its
+// end, and a body.
+var MalformedAnswers = map[string]func(head, body string) string{
+	"status of 000": func(head, body string) string {
+		return "HTTP/1.1 000 Trouble" + head[len("HTTP/1.1 200 OK"):] + lengthField(len(body)) + "\r\n" + body
+	},
+	"length is no number": func(head, body string) string {
+		return head + "Content-Length: x\r\nVary: a\r\n" + lengthField(len(body)-3) + "\r\n" + body
+	},
+	"length with a control byte": func(head, body string) string {
+		return head + fmt.Sprintf("Content-Length\x02: %d\r\nConnection: close\r\n\r\n%s", len(body), body+body)
+	},
+	"lengths differ": func(head, body string) string {
+		return head + lengthField(len(body)) + lengthField(len(body)-3) + "\r\n" + body
+	},
+	"length beside chunks": func(head, body string) string {
+		return head + lengthField(len(body)) + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body[3:])
+	},
+	"coding like chunked": func(head, body string) string {
+		return head + "Transfer-Encoding: xchunked\r\n\r\n" + chunked(body[3:])
+	},
+	"unknown coding": func(head, body string) string {
+		return head + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunked(body[3:])
+	},
+	"line without a name": func(head, body string) string {
+		return head + ": trouble\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"folded line": func(head, body string) string {
+		return head + "X-Trouble: a\r\n b\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"name with a blank": func(head, body string) string {
+		return head + "X Trouble: a\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"name with a blank at its end": func(head, body string) string {
+		return head + fmt.Sprintf("Content-Length : %d\r\n\r\n%s", len(body), body[3:])
+	},
+	"name with a control byte": func(head, body string) string {
+		return head + "X\x01Trouble: a\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"name with a delimiter": func(head, body string) string {
+		return head + "X(Trouble): a\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"value with a NUL": func(head, body string) string {
+		return head + "X-Trouble: a\x00b\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"value with a bare CR": func(head, body string) string {
+		return head + "X-Trouble: a\rSet-Cookie: b\r\n" + lengthField(len(body)) + "\r\n" + body
+	},
+	"informational head": func(head, body string) string {
+		return "HTTP/1.1 103 Early Hints\r\nX Trouble: a\r\n\r\n" + head + lengthField(len(body)) + "\r\n" + body
+	},
+	"refusal with a blank in a name": func(head, body string) string {
+		return "HTTP/1.1 503 Service Unavailable" + head[len("HTTP/1.1 200 OK"):] + "Not-Executed: 1\r\nX Trouble: a\r\n" +
+			lengthField(0) + "\r\n"
+	},
+	"two last chunks": func(head, body string) string {
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n0\r\n\r\n", len(body), body)
+	},
+	"trailer with a blank in a name": func(head, body string) string {
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX A: a\r\nX-B: b\r\n\r\n", len(body), body)
+	},
+}
+
+func lengthField(length int) string { return fmt.Sprintf("Content-Length: %d\r\n", length) }
+
+func chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
+
+// malformedHold is how long a target waits for the end of a connection after a malformed answer with which it keeps it open.
+const malformedHold = 10 * time.Second
+
+// writeMalformed writes an answer of the given form past the HTTP library. With keep, it leaves the end of the connection to the
+// node.
+func (t *Target) writeMalformed(w http.ResponseWriter, form, head, body string, keep bool) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, MalformedAnswers[form](head+malformedStatements, body)); err != nil || !keep {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(malformedHold))
+	_, _ = io.Copy(io.Discard, conn)
+}
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -55,6 +55,10 @@
 	Lose, Cut float64
 	// Extra answers are followed by a second one, Unframed ones end with the connection.
 	Extra, Unframed float64
+	// Malformed is the form of MalformedAnswers that every answer has; empty for none. After it the target closes the connection,
+	// or with KeepsOpen leaves that to the node.
+	Malformed string
+	KeepsOpen bool
 	// RepeatRefusals writes the last refusal of a connection once more before the answer to the next request on it.
 	RepeatRefusals bool
 	// RefusalsWithoutID leaves the id of the request out of refusals.
@@ -267,7 +271,8 @@
 // fate is what happens to one request.
 type fate struct {
 	shed, fail, lose, cut, extra, unframed bool
-	silent, keepsBroken                    bool
+	silent, keepsBroken, keepsOpen         bool
+	malformed                              string
 	work                                   time.Duration
 }
 
@@ -282,7 +287,7 @@
 	}
 	return fate{
 		shed: hit(f.Shed), fail: hit(f.Fail), lose: hit(f.Lose), cut: hit(f.Cut), extra: hit(f.Extra), unframed: hit(f.Unframed),
-		silent: f.Silent, keepsBroken: f.KeepsBroken,
+		silent: f.Silent, keepsBroken: f.KeepsBroken, keepsOpen: f.KeepsOpen, malformed: f.Malformed,
 		work: max(f.Least, time.Duration(t.random.ExpFloat64()*slow*float64(t.settings.Work))),
 	}
 }
@@ -459,6 +464,8 @@
 	switch {
 	case last != nil && *last != "":
 		t.raw(w, *last+framed)
+	case f.malformed != "":
+		t.writeMalformed(w, f.malformed, head, body, f.keepsOpen)
 	case f.lose:
 		hangUp(w)
 	case f.cut:
