Check the fields of answers of other nodes before they are passed on

Callers could have seen: a field that no recipient accepts, from a target beside a node of an older build, in a mesh that is being updated.

Cause: the node at which a request enters checked only the status of an answer that came over net/rpc.

Evidence: TestInvalidAnswersOfNodesAreUnknown (dispatch) and two new rows of TestFaults (ingress) failed on: the answers were passed on.

Change: wire.Response.IsValidAnswer checks status, names and values for both paths. An invalid answer is an unknown outcome, like one with an invalid status before.

Why it works: these two places are the only ones where an answer of another node, or a recorded one, becomes a result.

--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -448,3 +448,25 @@
 		})
 	}
 }
+
+// Guards against a field that no recipient accepts, or a status that is none, in an answer of a node of an older build that is
+// passed on to a caller.
+func TestInvalidAnswersOfNodesAreUnknown(t *testing.T) {
+	field := func(name, value string) *wire.Response {
+		return &wire.Response{Outcome: outcome.Answered, Status: 200, Headers: []wire.Header{{Name: name, Value: value}}}
+	}
+	for _, invalid := range []*wire.Response{
+		nil, field("", "a"), field("X A", "a"), field("X-A ", "a"), field("X\x00A", "a"), field("X:A", "a"), field("X-A", "a\r\nB: c"),
+		field("X-A", "a\x00"), field("X-A", "a\x7f"),
+		{Outcome: outcome.Answered},
+		{Outcome: outcome.Answered, Status: 103},
+		{Outcome: outcome.Answered, Status: 600},
+		{Outcome: 9},
+	} {
+		got := validatedResponse(invalid)
+		assert.Equal(t, got.Outcome, outcome.Unknown, "%+v", invalid)
+		assert.Assert(t, got.Arrived)
+	}
+	valid := field("X-A", "a\tb \xe9")
+	assert.Equal(t, validatedResponse(valid), valid)
+}
--- a/server/coordination/dispatch/job.go
+++ b/server/coordination/dispatch/job.go
@@ -371,7 +371,7 @@
 func validatedResponse(response *wire.Response) *wire.Response {
 	valid := response != nil
 	if valid && response.Outcome == outcome.Answered {
-		valid = response.Status >= 200 && response.Status <= 599
+		valid = response.IsValidAnswer()
 	}
 	if !valid || response.Outcome > outcome.RefusedNotRun {
 		return &wire.Response{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerCut, Arrived: true}
--- a/server/coordination/ingress/fault_test.go
+++ b/server/coordination/ingress/fault_test.go
@@ -65,6 +65,8 @@
 	{name: "no target", request: request("GET"), view: testView(), want: "refused-not-run/no_target", status: 503},
 	{name: "key reused", request: request("POST", "Idempotency-Key", "k1"), react: []reply{refused(outcome.ReasonKeyReused)}, want: "refused-not-run/key_reused", status: 400, sent: 1},
 	{name: "invalid answer", request: request("POST"), react: []reply{{response: &wire.Response{Outcome: outcome.Answered}}}, want: "unknown/answer_cut", status: 504, sent: 1},
+	{name: "answer with an invalid field name", request: request("POST"), react: []reply{{response: &wire.Response{Outcome: outcome.Answered, Status: 200, Headers: []wire.Header{{Name: "X A", Value: "b"}}}}}, want: "unknown/answer_cut", status: 504, sent: 1},
+	{name: "answer with a line end in a value", request: request("POST"), react: []reply{{response: &wire.Response{Outcome: outcome.Answered, Status: 200, Headers: []wire.Header{{Name: "X-A", Value: "b\r\nc"}}}}}, want: "unknown/answer_cut", status: 504, sent: 1},
 	{name: "malformed deadline", request: request("GET", "Wagtail-Deadline-Ms", "soon"), want: "refused-not-run/malformed", status: 400},
 	{name: "malformed key", request: request("POST", "Idempotency-Key", "a b"), want: "refused-not-run/malformed", status: 400},
 	{name: "two keys", request: request("POST", "Idempotency-Key", "a", "idempotency-key", "b"), want: "refused-not-run/malformed", status: 400},
--- a/server/coordination/ingress/send.go
+++ b/server/coordination/ingress/send.go
@@ -141,7 +141,7 @@
 	}
 	switch response.Outcome {
 	case outcome.Answered:
-		if response.Status < 200 || response.Status > 599 {
+		if !response.IsValidAnswer() {
 			return unknown(outcome.ReasonAnswerCut)
 		}
 	case outcome.RefusedNotRun, outcome.Unknown:
