Stand-in caller: reject answers with field names that are no tokens

Change: the caller of the stand-in, which the soak uses too, checks the names of all fields. Lengths, codings, control bytes and values are rejected by net/http.

--- a/standin/platform/caller.go
+++ b/standin/platform/caller.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Call is a request of a caller.
@@ -133,9 +135,22 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	if err := checkNames(resp.Header); err != nil {
+		return Reply{}, err
+	}
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	return Reply{
 		Status: resp.StatusCode, ID: resp.Header.Get("Request-Id"), Signature: resp.Header.Get("Response-Signature"),
 		Header: resp.Header, Body: string(body), Closes: resp.Close, RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}, nil
 }
+
+// checkNames returns an error for a field whose name is no token, which net/http accepts if it has a blank.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("field name %q in a response", name)
+		}
+	}
+	return nil
+}
