Test that a 204 which announces a body ends its connection

Cause: docs/design/responses.md states it, and no test showed it. Change: three rows of TestFieldsOfResponses. They fail without the condition in connectionFields.apply (false != true for a 204 with Content-Length: 2). Result: the test passes on this commit.

--- a/server/transport/httpclient/head_test.go
+++ b/server/transport/httpclient/head_test.go
@@ -268,6 +268,10 @@
 		okLine + "Connection: keep-alive\r\n" + lengthTwo + "\r\nok":           false,
 		"HTTP/1.0 200 OK\r\n" + lengthTwo + "\r\nok":                           true,
 		"HTTP/1.0 200 OK\r\nConnection: Keep-Alive\r\n" + lengthTwo + "\r\nok": false,
+		// The body may follow, and must not be read as the next response.
+		"HTTP/1.1 204 No Content\r\n" + lengthTwo + "\r\n":     true,
+		"HTTP/1.1 204 No Content\r\n" + chunkedOne + "\r\n":    true,
+		"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n": false,
 	} {
 		resp, err := parse(strings.NewReader(raw), "GET", Limits{})
 		assert.NilError(t, err)
