--- /dev/null
+++ b/review/driver-3/quota.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// envOr returns a variable of the environment, or a value if it is not set.
+func envOr(name, value string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return value
+}
+
+// The quota of the tenant, and the bounds of delad-arende-grown.
+const (
+	quotaRate, quotaBurst    = 40.0, 40.0
+	quotaWindow              = 5 * time.Second
+	quotaOverage, quotaSlack = 0.1, 20.0
+)
+
+// quotaNodes is the number of machines, and quotaLoad the requests a second that each gets of the tenant.
+const (
+	quotaNodes = 8
+	quotaLoad  = 40
+)
+
+const (
+	// outage is how long the store is down in part.
+	outage = 4500 * time.Millisecond
+	// restartDelay is how long the platform takes to restart a process.
+	restartDelay = 300 * time.Millisecond
+)
+
+// directoryPartition is the partition in which the nodes find each other.
+const directoryPartition = "keyed.wagtailford-nodes/0"
+
+// playQuota kills all processes while the partition of the store that holds the directory of the nodes is down, and counts what
+// runs of a tenant that sends more than its quota. MODE is both, outage or kill.
+func playQuota(r *record, trouble bool) error {
+	d, err := newDeployment(r)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	d.bounds["quota-window-s"], d.bounds["quota-overage"], d.bounds["quota-slack"] = "5", "0.1", "20"
+	zones := []string{"se-mid-a", "se-mid-b", "se-mid-c"}
+	for i := range quotaNodes {
+		if _, err := d.add(zones[i%3], "desk"); err != nil {
+			return err
+		}
+	}
+	d.store.put("keyed.op", "config", configuration(1, []rule{{"r-history", "idempotent", "/history/", "desk", 1.2, 0.8, 2, 1}},
+		[]string{"desk"}, []map[string]any{
+			{"name": "partner-1", "api-keys": []string{"key-1"}, "rate-per-s": quotaRate, "burst": quotaBurst, "priority": 1},
+		}))
+	if err := d.startAll(20 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	r.say("all %d nodes are ready; the tenant sends %d requests/s to each", quotaNodes, quotaLoad)
+	mode := envOr("MODE", "both")
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i, m := range d.machines {
+		group.Go(func() { quotaClients(r, m, i, stop) })
+	}
+	time.Sleep(8 * time.Second)
+	if trouble {
+		if mode != "kill" {
+			r.say("the partition %s of the store answers 503", directoryPartition)
+			d.store.setDown(directoryPartition, true)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if mode != "outage" {
+			r.say("all processes are killed and start again")
+			for _, m := range d.machines {
+				m.signal(syscall.SIGKILL)
+			}
+			time.Sleep(restartDelay)
+			for _, m := range d.machines {
+				m.wait()
+				if err := m.start(); err != nil {
+					return err
+				}
+			}
+		}
+		time.Sleep(outage - restartDelay - 200*time.Millisecond)
+		r.say("the store serves everything again")
+		d.store.setDown(directoryPartition, false)
+	}
+	time.Sleep(10 * time.Second)
+	close(stop)
+	group.Wait()
+	var at []time.Time
+	for _, m := range d.machines {
+		for _, run := range m.backend.allRuns() {
+			r.line("run id=%s at=%.3f backend=%s tenant=%s", run.id, run.at.Sub(r.began).Seconds(), m.backend.id, run.tenant)
+			if strings.HasPrefix(run.id, "q") && run.tenant == "partner-1" {
+				at = append(at, run.at)
+			}
+		}
+	}
+	most := mostIn(at, quotaWindow)
+	bound := (quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOverage) + quotaSlack
+	r.say("most runs of the tenant in %v: %d, the rule allows %.0f; all runs: %d", quotaWindow, most, bound, len(at))
+	if float64(most) > bound {
+		return errBroken
+	}
+	return nil
+}
+
+// quotaClients send requests of the tenant at one machine until stop is closed.
+func quotaClients(r *record, m *machine, index int, stop <-chan struct{}) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ticker := time.NewTicker(time.Second / quotaLoad)
+	defer ticker.Stop()
+	for k := 0; ; k++ {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		id := fmt.Sprintf("q%d-%d", index, k)
+		group.Go(func() {
+			got := m.request("GET", host, "/history/"+id, id, 2*time.Second, "", "Authorization: Bearer key-1")
+			r.line("request id=%s machine=%s status=%d whole=%v err=%v", id, m.name, got.status, got.whole(id), got.err)
+		})
+	}
+}
+
+// mostIn returns the largest number of times in a window.
+func mostIn(at []time.Time, window time.Duration) int {
+	sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
+	most, first := 0, 0
+	for i := range at {
+		for at[i].Sub(at[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
