--- a/review/driver-3/backend.go
+++ b/review/driver-3/backend.go
@@ -19,8 +19,8 @@
 
 // run is a request that a backend began to work on.
 type run struct {
-	id, tenant string
-	at         time.Time
+	id, tenant, authorization string
+	at                        time.Time
 	// status is that of the answer; 0 if there was none.
 	status int
 }
@@ -159,7 +159,7 @@
 	defer func() { <-b.slot }()
 	b.mu.Lock()
 	at := len(b.runs)
-	b.runs = append(b.runs, run{id: id, tenant: r.Header.Get("Tenant"), at: time.Now()})
+	b.runs = append(b.runs, run{id: id, tenant: r.Header.Get("Tenant"), authorization: r.Header.Get("Authorization"), at: time.Now()})
 	b.mu.Unlock()
 	select {
 	case <-time.After(b.work):
--- a/review/driver-3/deployment.go
+++ b/review/driver-3/deployment.go
@@ -45,7 +45,6 @@
 	storeAt  string
 	machines []*machine
 	bounds   map[string]string
-	values   map[string]string
 }
 
 // newDeployment returns a deployment without machines in a temporary folder.
@@ -57,7 +56,7 @@
 	if _, err := os.Stat(program); err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, record: r, values: map[string]string{}}
+	d := &deployment{dir: dir, record: r}
 	// The bounds of cpuro-rates.
 	d.bounds = map[string]string{
 		"grace-s": "6", "retry-budget-ratio": "0.2", "budget-window-s": "10", "budget-slack": "64",
@@ -70,14 +69,17 @@
 	return d, nil
 }
 
-// freeAddress returns an address of an IP that nobody listens on.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses sets addresses of an IP that nobody listens on, all of them different.
+func freeAddresses(ip string, addresses ...*string) error {
+	for _, at := range addresses {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		*at = l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // add adds a machine with a backend that does not run yet.
@@ -87,13 +89,10 @@
 		name: fmt.Sprintf("sidecar-%s-%d", zone, i), ip: fmt.Sprintf("127.%d.%d.%d", 30+os.Getpid()%190, os.Getpid()/190%250, i),
 		zone: zone, service: service,
 	}
-	for _, at := range []*string{&m.outbound, &m.inbound, &m.ready, &m.control, &m.ports[0], &m.ports[1]} {
-		var err error
-		if *at, err = freeAddress(m.ip); err != nil {
-			return nil, err
-		}
+	err := freeAddresses(m.ip, &m.outbound, &m.inbound, &m.ready, &m.control, &m.ports[0], &m.ports[1])
+	if err != nil {
+		return nil, err
 	}
-	var err error
 	if m.backend, err = newBackend(m, fmt.Sprintf("i-%04d", i)); err != nil {
 		return nil, err
 	}
@@ -124,9 +123,6 @@
 	for name, value := range d.bounds {
 		values["bounds."+name] = value
 	}
-	for name, value := range d.values {
-		values[name] = value
-	}
 	out := inverted.ReplaceAllStringFunc(string(text), func(s string) string {
 		parts := inverted.FindStringSubmatch(s)
 		if values[parts[1]] != "" {
@@ -284,6 +280,8 @@
 	for _, m := range d.machines {
 		for !m.isReady() {
 			if time.Now().After(end) {
+				text, _ := os.ReadFile(m.logFile)
+				d.record.line("log of %s:\n%s", m.name, text)
 				return fmt.Errorf("%s is not ready within %v", m.name, limit)
 			}
 			time.Sleep(50 * time.Millisecond)
--- a/review/driver-3/quota.go
+++ b/review/driver-3/quota.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"sort"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +28,9 @@
 const (
 	quotaNodes = 8
 	quotaLoad  = 40
+	// quotaAdded is the number of machines that are added, a quarter, and quotaAddGap the time after each: two seconds in all.
+	quotaAdded  = 2
+	quotaAddGap = time.Second
 )
 
 const (
@@ -41,8 +43,8 @@
 // directoryPartition is the partition in which the nodes find each other.
 const directoryPartition = "keyed.wagtailford-nodes/0"
 
-// playQuota kills all processes while the partition of the store that holds the directory of the nodes is down, and counts what
-// runs of a tenant that sends more than its quota. MODE is both, outage or kill.
+// playQuota adds machines while the partition of the store that holds the directory of the nodes is down, and counts what runs of a
+// tenant that sends more than its quota. With MODE=kill all processes are killed in place of that, with MODE=alone neither happens.
 func playQuota(r *record, trouble bool) error {
 	d, err := newDeployment(r)
 	if err != nil {
@@ -50,9 +52,8 @@
 	}
 	defer d.close()
 	d.bounds["quota-window-s"], d.bounds["quota-overage"], d.bounds["quota-slack"] = "5", "0.1", "20"
-	zones := []string{"se-mid-a", "se-mid-b", "se-mid-c"}
-	for i := range quotaNodes {
-		if _, err := d.add(zones[i%3], "desk"); err != nil {
+	for range quotaNodes {
+		if _, err := d.addQuota(); err != nil {
 			return err
 		}
 	}
@@ -65,36 +66,49 @@
 	}
 	time.Sleep(4 * time.Second)
 	r.say("all %d nodes are ready; the tenant sends %d requests/s to each", quotaNodes, quotaLoad)
-	mode := envOr("MODE", "both")
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	for i, m := range d.machines {
-		group.Go(func() { quotaClients(r, m, i, stop) })
+	for _, m := range d.machines {
+		group.Go(func() { quotaClients(r, m, stop) })
 	}
 	time.Sleep(8 * time.Second)
+	end := time.Now().Add(outage)
 	if trouble {
-		if mode != "kill" {
-			r.say("the partition %s of the store answers 503", directoryPartition)
-			d.store.setDown(directoryPartition, true)
-		}
-		time.Sleep(200 * time.Millisecond)
-		if mode != "outage" {
-			r.say("all processes are killed and start again")
-			for _, m := range d.machines {
-				m.signal(syscall.SIGKILL)
+		r.say("the partition %s of the store answers 503", directoryPartition)
+		d.store.setDown(directoryPartition, true)
+	}
+	time.Sleep(200 * time.Millisecond)
+	switch mode := envOr("MODE", "scale"); mode {
+	case "scale":
+		for range quotaAdded {
+			m, err := d.addQuota()
+			if err != nil {
+				return err
+			}
+			r.say("%s is added", m.name)
+			if err := m.start(); err != nil {
+				return err
 			}
-			time.Sleep(restartDelay)
-			for _, m := range d.machines {
-				m.wait()
-				if err := m.start(); err != nil {
-					return err
-				}
+			m.backend.start()
+			group.Go(func() { quotaClients(r, m, stop) })
+			time.Sleep(quotaAddGap)
+		}
+	case "kill":
+		r.say("all processes are killed and start again")
+		for _, m := range d.machines {
+			m.signal(syscall.SIGKILL)
+		}
+		time.Sleep(restartDelay)
+		for _, m := range d.machines {
+			m.wait()
+			if err := m.start(); err != nil {
+				return err
 			}
 		}
-		time.Sleep(outage - restartDelay - 200*time.Millisecond)
-		r.say("the store serves everything again")
-		d.store.setDown(directoryPartition, false)
 	}
+	time.Sleep(time.Until(end))
+	d.store.setDown(directoryPartition, false)
+	r.say("the store serves everything")
 	time.Sleep(10 * time.Second)
 	close(stop)
 	group.Wait()
@@ -102,7 +116,7 @@
 	for _, m := range d.machines {
 		for _, run := range m.backend.allRuns() {
 			r.line("run id=%s at=%.3f backend=%s tenant=%s", run.id, run.at.Sub(r.began).Seconds(), m.backend.id, run.tenant)
-			if strings.HasPrefix(run.id, "q") && run.tenant == "partner-1" {
+			if run.tenant == "partner-1" {
 				at = append(at, run.at)
 			}
 		}
@@ -116,8 +130,14 @@
 	return nil
 }
 
+// addQuota adds a machine in the next zone.
+func (d *deployment) addQuota() (*machine, error) {
+	zones := []string{"se-mid-a", "se-mid-b", "se-mid-c"}
+	return d.add(zones[len(d.machines)%len(zones)], "desk")
+}
+
 // quotaClients send requests of the tenant at one machine until stop is closed.
-func quotaClients(r *record, m *machine, index int, stop <-chan struct{}) {
+func quotaClients(r *record, m *machine, stop <-chan struct{}) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	ticker := time.NewTicker(time.Second / quotaLoad)
@@ -128,7 +148,7 @@
 			return
 		case <-ticker.C:
 		}
-		id := fmt.Sprintf("q%d-%d", index, k)
+		id := fmt.Sprintf("%s-%d", m.name, k)
 		group.Go(func() {
 			got := m.request("GET", host, "/history/"+id, id, 2*time.Second, "", "Authorization: Bearer key-1")
 			r.line("request id=%s machine=%s status=%d whole=%v err=%v", id, m.name, got.status, got.whole(id), got.err)
