--- a/review/driver-3/backend.go
+++ b/review/driver-3/backend.go
@@ -14,15 +14,13 @@
 	"time"
 )
 
-// heartbeat is the platform's heartbeat-s.
-const heartbeat = 1500 * time.Millisecond
+// heartbeat is the time between two reports: about the platform's heartbeat-s, which is 1.5.
+const heartbeat = 1600 * time.Millisecond
 
 // run is a request that a backend began to work on.
 type run struct {
 	id, tenant, authorization string
 	at                        time.Time
-	// status is that of the answer; 0 if there was none.
-	status int
 }
 
 // backend is the application beside a node.
@@ -42,9 +40,12 @@
 
 	mu       sync.Mutex
 	sequence int
+	// delay is how late reports arrive; leaving is true once the backend has said that it leaves.
+	delay   time.Duration
+	leaving bool
+	// reported is when the last report was sent.
+	reported time.Time
 	runs     []run
-	// fate draws the status of an answer; nil for 200.
-	fate func() int
 }
 
 func newBackend(m *machine, id string) (*backend, error) {
@@ -76,34 +77,57 @@
 }
 
 func (b *backend) beat() {
-	for b.report() {
+	for b.ctx.Err() == nil {
 		// An acknowledged report is followed by the next after the usual time, one without after a second.
+		pause := time.Second
+		if b.report() {
+			pause = heartbeat
+		}
 		select {
-		case <-time.After(heartbeat):
+		case <-time.After(pause):
 		case <-b.ctx.Done():
+		}
+		b.mu.Lock()
+		leaving := b.leaving
+		b.mu.Unlock()
+		if leaving {
 			return
 		}
 	}
-	select {
-	case <-time.After(time.Second):
-		go b.beat()
-	case <-b.ctx.Done():
-	}
 }
 
-// report sends one liveness report and returns whether it was acknowledged.
+// report sends one liveness report and returns whether it was acknowledged. A late one counts as acknowledged.
 func (b *backend) report() bool {
 	b.mu.Lock()
 	b.sequence++
+	b.reported = time.Now()
 	body, _ := json.Marshal(map[string]any{
 		"address": b.address, "born": b.born,
 		"info":   map[string]any{"service": b.m.service, "version": "v1", "zone": b.m.zone, "slots": b.slots},
 		"status": map[string]any{"state": "ready", "sequence": b.sequence, "cold-left-s": 0},
 	})
+	delay := b.delay
 	b.mu.Unlock()
+	if delay > 0 {
+		time.AfterFunc(delay, func() { b.tell(http.MethodPut, body) })
+		return true
+	}
+	return b.tell(http.MethodPut, body)
+}
+
+// leave sends the notice that the backend leaves, and returns whether it was acknowledged. The backend serves on.
+func (b *backend) leave() bool {
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	return b.tell(http.MethodDelete, fmt.Appendf(nil, `{"born":%d}`, b.born))
+}
+
+// tell calls the node beside the backend.
+func (b *backend) tell(method string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(b.ctx, time.Second)
 	defer cancel()
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.m.control+"/instances/"+b.id, bytes.NewReader(body))
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+b.m.control+"/instances/"+b.id, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -118,6 +142,12 @@
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("Instance-Id", b.id)
+		b.mu.Lock()
+		leaving := b.leaving
+		b.mu.Unlock()
+		if leaving {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("Request-Id")
@@ -158,7 +188,6 @@
 	}
 	defer func() { <-b.slot }()
 	b.mu.Lock()
-	at := len(b.runs)
 	b.runs = append(b.runs, run{id: id, tenant: r.Header.Get("Tenant"), authorization: r.Header.Get("Authorization"), at: time.Now()})
 	b.mu.Unlock()
 	select {
@@ -169,15 +198,7 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	status := http.StatusOK
-	b.mu.Lock()
-	if b.fate != nil {
-		status = b.fate()
-	}
-	b.runs[at].status = status
-	b.mu.Unlock()
 	w.Header().Set("Response-Signature", "sig-"+id)
-	w.WriteHeader(status)
 	fmt.Fprintf(w, "answer to %s\n", id)
 }
 
@@ -187,9 +208,9 @@
 	return append([]run(nil), b.runs...)
 }
 
-// setFate replaces what draws the status of answers.
-func (b *backend) setFate(fate func() int) {
+// lastReport returns when the last report was sent.
+func (b *backend) lastReport() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fate = fate
+	return b.reported
 }
--- a/review/driver-3/main.go
+++ b/review/driver-3/main.go
@@ -12,10 +12,9 @@
 
 // cases are the plays by name. trouble is false if the disruption is left out.
 var cases = map[string]func(r *record, trouble bool) error{
-	"crowd":   playCrowd,
 	"bodies":  playBodies,
 	"quota":   playQuota,
-	"mixed":   playMixed,
+	"late":    playLate,
 	"tenants": playTenants,
 }
 
--- a/review/driver-3/quota.go
+++ b/review/driver-3/quota.go
@@ -5,6 +5,7 @@
 	"os"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,13 +25,17 @@
 	quotaOverage, quotaSlack = 0.1, 20.0
 )
 
-// quotaNodes is the number of machines, and quotaLoad the requests a second that each gets of the tenant.
 const (
-	quotaNodes = 8
-	quotaLoad  = 40
-	// quotaAdded is the number of machines that are added, a quarter, and quotaAddGap the time after each: two seconds in all.
+	// quotaNodes is the number of machines. quotaAdded is the number of those that are added, a quarter, and quotaAddGap the time
+	// after each: two seconds in all.
+	quotaNodes  = 8
 	quotaAdded  = 2
 	quotaAddGap = time.Second
+	// quotaUsual and quotaHot are the requests a second that the tenant sends to each machine. Its usual demand is its rate / 1.6
+	// (quota_x of the site file) at eight machines; hot is six times as much, for hotTime.
+	quotaUsual = quotaRate / 1.6 / quotaNodes
+	quotaHot   = 6 * quotaUsual
+	hotTime    = 6500 * time.Millisecond
 )
 
 const (
@@ -65,11 +70,12 @@
 		return err
 	}
 	time.Sleep(4 * time.Second)
-	r.say("all %d nodes are ready; the tenant sends %d requests/s to each", quotaNodes, quotaLoad)
+	r.say("all %d nodes are ready; the tenant sends %.1f requests/s to each", quotaNodes, quotaUsual)
 	stop := make(chan struct{})
+	var hot atomic.Bool
 	var group sync.WaitGroup
 	for _, m := range d.machines {
-		group.Go(func() { quotaClients(r, m, stop) })
+		group.Go(func() { quotaClients(r, m, &hot, stop) })
 	}
 	time.Sleep(8 * time.Second)
 	end := time.Now().Add(outage)
@@ -78,6 +84,9 @@
 		d.store.setDown(directoryPartition, true)
 	}
 	time.Sleep(200 * time.Millisecond)
+	r.say("the tenant sends %.1f requests/s to each machine for %v", quotaHot, hotTime)
+	hot.Store(true)
+	time.AfterFunc(hotTime, func() { hot.Store(false) })
 	switch mode := envOr("MODE", "scale"); mode {
 	case "scale":
 		for range quotaAdded {
@@ -90,7 +99,7 @@
 				return err
 			}
 			m.backend.start()
-			group.Go(func() { quotaClients(r, m, stop) })
+			group.Go(func() { quotaClients(r, m, &hot, stop) })
 			time.Sleep(quotaAddGap)
 		}
 	case "kill":
@@ -137,16 +146,18 @@
 }
 
 // quotaClients send requests of the tenant at one machine until stop is closed.
-func quotaClients(r *record, m *machine, stop <-chan struct{}) {
+func quotaClients(r *record, m *machine, hot *atomic.Bool, stop <-chan struct{}) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	ticker := time.NewTicker(time.Second / quotaLoad)
-	defer ticker.Stop()
 	for k := 0; ; k++ {
+		rate := quotaUsual
+		if hot.Load() {
+			rate = quotaHot
+		}
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-time.After(time.Duration(float64(time.Second) / rate)):
 		}
 		id := fmt.Sprintf("%s-%d", m.name, k)
 		group.Go(func() {
