Reject a 204 that announces a body

Callers saw: a signed, empty 204 as the complete answer, where the target had sent a body of 18 bytes.

Cause: the client took a 204 with a length above 0, or a transfer coding, as a complete response without a body, and only closed the connection. A server must not send these fields in a 204 (RFC 9110, 8.6; RFC 9112, 6.1), so such a head is that of another response with a changed status.

Change: such a head is ErrMalformed. A length of 0 in a 204, and any length in a 304 or in a response to HEAD, are taken as before.

Why it works: apply is the one place where the framing of a head is decided.

--- a/server/transport/httpclient/head.go
+++ b/server/transport/httpclient/head.go
@@ -188,6 +188,8 @@
 		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
 	case h.StatusCode() < 200 && c.announcesBody():
 		return fmt.Errorf("%w: informational response with a body", ErrMalformed)
+	case h.StatusCode() == consts.StatusNoContent && c.announcesBody():
+		return fmt.Errorf("%w: 204 with a body", ErrMalformed)
 	case c.chunked:
 		h.InitContentLengthWithValue(bodyChunked)
 	case c.hasLength:
@@ -196,16 +198,13 @@
 	default:
 		h.InitContentLengthWithValue(bodyUntilClose)
 	}
-	h.SetConnectionClose(c.close || !h.IsHTTP11() && !c.keepAlive || h.StatusCode() == statusNoContent && c.announcesBody())
+	h.SetConnectionClose(c.close || !h.IsHTTP11() && !c.keepAlive)
 	return nil
 }
 
 // announcesBody reports whether a body would follow a head whose status allows one.
 func (c *connectionFields) announcesBody() bool { return c.chunked || c.length > 0 }
 
-// statusNoContent is that of a response without a body. A server that announces one all the same may also send it.
-const statusNoContent = consts.StatusNoContent
-
 // addField adds a field under its normalized name. The header keeps one value of some fields; codings of a body apply one after
 // the other, so that none may be left out.
 func addField(h *protocol.ResponseHeader, name, value []byte) {
--- a/standin/platform/malformed.go
+++ b/standin/platform/malformed.go
@@ -65,6 +65,12 @@
 		return "HTTP/1.1 503 Service Unavailable" + head[len("HTTP/1.1 200 OK"):] + "Not-Executed: 1\r\nX Trouble: a\r\n" +
 			lengthField(0) + "\r\n"
 	},
+	"204 with a length": func(head, body string) string {
+		return noContent(head) + lengthField(len(body)) + "\r\n" + body
+	},
+	"204 with a coding": func(head, body string) string {
+		return noContent(head) + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body)
+	},
 	"two last chunks": func(head, body string) string {
 		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n0\r\n\r\n", len(body), body)
 	},
@@ -73,6 +79,8 @@
 	},
 }
 
+func noContent(head string) string { return "HTTP/1.1 204 No Content" + head[len("HTTP/1.1 200 OK"):] }
+
 func lengthField(length int) string { return fmt.Sprintf("Content-Length: %d\r\n", length) }
 
 func chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
