Take a length in an unusual form only with the end of the connection

Callers saw: a signed 200 with the first bytes of the target's body, when a digit of its length had become a blank: "Content-Length: 8" for 18 bytes.

Cause: the grammar allows blanks and tabs around a length, leading zeros, and several equal lengths, in one list or in several fields; a recipient reads a blank between the size of a chunk and its extension. No sender writes them for a reason, and each is what one changed byte makes of a longer length: a blank or tab for a digit, a comma in "151". The rest of the body was dropped as bytes after a complete answer.

Evidence: on "length: ... lost", "digit became ..." and "lengths: equal, body is longer" failed in TestMalformedHeadIsNoResponse, TestMalformedHeadEndsConnection and TestMalformedResponseToStreamedBody, "size: digit became a blank" in TestMalformedChunksAreNoBody, and TestLengthInUnusualFormNeedsEnd in all forms. So did "digit lost" of TestMalformedResponseIsUnknown (requests and health checks), the short length of TestMalformedResponses (log service) and of TestMalformedResponsesOfTheStore, and, through the whole program, "length without its first digit" of TestMalformedAnswersReachNoCaller, with the connection closed and kept open. They pass now.

Change: a body whose length is in such a form counts if the connection ends in order right behind it. Further bytes are ErrMalformed, no end within the timeout is ErrCut. The client closes its half of the connection after the body, so that a server which waits for the next request ends it. The usual form, one blank or none and the digits, is read as before.

Why it works: the spoilt length is shorter than the body that was sent, so bytes follow. Complete answers in these forms stay answers: TestUnusualResponsesOnConnections reads each from a server that closes the connection and from one that keeps it open (it passed before, too).

--- a/server/coordination/execute/malformed_test.go
+++ b/server/coordination/execute/malformed_test.go
@@ -24,6 +24,7 @@
 		"coding":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"field name":     "HTTP/1.1 503 Service Unavailable\r\nX A: b\r\n" + end,
 		"204 with body":  "HTTP/1.1 204 No Content\r\n" + end,
+		"digit lost":     "HTTP/1.1 200 OK\r\nContent-Length:  2\r\n\r\nok and the rest",
 		"chunk":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2 \r\nok\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/server/transport/httpclient/body.go
+++ b/server/transport/httpclient/body.go
@@ -12,27 +12,26 @@
 // that have arrived, not those that the framing announces.
 const bodyPartBytes = 32 << 10
 
-// readBody reads the body of a response whose head was read.
-func (c *Client) readBody(resp *protocol.Response, r *reader) error {
+// readBody reads the body of a response whose head was read. needsEnd reports that it counts only if the connection ends with it.
+func (c *Client) readBody(resp *protocol.Response, r *reader) (needsEnd bool, err error) {
 	b := body{response: resp, reader: r, max: c.limits.BodyMaxBytes, trailerMax: c.limits.HeaderMaxBytes}
 	resp.BodyBuffer().Reset()
 	r.max = max(c.limits.HeaderMaxBytes, bodyPartBytes)
-	var err error
 	switch length := resp.Header.ContentLength(); {
 	case length >= 0:
 		err = b.take(length)
 	case length == bodyUntilClose && !c.limits.UnframedBodies:
-		return ErrCut
+		return false, ErrCut
 	case length == bodyUntilClose:
 		err = b.takeUntilClose()
 	default:
 		err = b.takeChunks()
 	}
 	if err != nil {
-		return cut(r, err)
+		return false, cut(r, err)
 	}
 	resp.Header.SetContentLength(len(resp.BodyBuffer().B))
-	return nil
+	return b.unusualChunks, nil
 }
 
 // body is the body of one response while it is read.
@@ -42,6 +41,8 @@
 	max      int
 	// trailerMax limits the bytes of the trailer, and those of all chunk extensions.
 	trailerMax int
+	// unusualChunks means that a chunk line is valid, but in a form that one changed byte could have made of another size.
+	unusualChunks bool
 }
 
 // take moves the next n bytes into the body.
--- a/server/transport/httpclient/chunks.go
+++ b/server/transport/httpclient/chunks.go
@@ -58,6 +58,7 @@
 	if !found || err != nil || digits > chunkSizeDigitsMax || !isChunkExtension(content[digits:]) {
 		return 0, 0, fmt.Errorf("%w: chunk line %.*q", ErrMalformed, quotedMax, line)
 	}
+	b.unusualChunks = b.unusualChunks || hasBlankBeforeExtension(content[digits:])
 	return int(parsed), len(content) - digits, nil
 }
 
@@ -71,6 +72,9 @@
 	return len(text) == 0 || bytes.HasPrefix(bytes.TrimLeft(text, " \t"), []byte(";")) && httpguts.ValidHeaderFieldValue(string(text))
 }
 
+// hasBlankBeforeExtension reports whether a blank stands where a digit of the size could have been.
+func hasBlankBeforeExtension(text []byte) bool { return len(text) > 0 && text[0] != ';' }
+
 // skipLineEnd reads the line end after the data of a chunk.
 func (b *body) skipLineEnd() error {
 	end, err := b.reader.Peek(len(crlf))
--- a/server/transport/httpclient/chunks_test.go
+++ b/server/transport/httpclient/chunks_test.go
@@ -38,6 +38,7 @@
 	"trailer: no colon":            okLine + chunkedOne + "\r\n2\r\nok\r\n0\r\ntrouble\r\n\r\n",
 	"trailer: folded":              okLine + chunkedOne + "\r\n2\r\nok\r\n0\r\nX-A: b\r\n c\r\n\r\n",
 	"trailer: NUL in a value":      okLine + chunkedOne + "\r\n2\r\nok\r\n0\r\nX-A: \x00\r\n\r\n",
+	"size: digit became a blank":   okLine + chunkedOne + "\r\n2 ;a\r\nok\r\n0\r\n\r\nand what follows",
 	"trailer: length":              okLine + chunkedOne + "\r\n2\r\nok\r\n0\r\nContent-Length: 9\r\n\r\n",
 	"trailer: coding":              okLine + chunkedOne + "\r\n2\r\nok\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
--- a/server/transport/httpclient/head.go
+++ b/server/transport/httpclient/head.go
@@ -33,29 +33,29 @@
 	statusEnd      = 12
 )
 
-// readHead reads the head of one response. The codec of hertz is not used for it: it takes a malformed field for another one or
-// for none.
-func readHead(h *protocol.ResponseHeader, r *reader, maxBytes int) error {
+// readHead reads the head of one response. needsEnd reports that the body counts only if the connection ends with it. The codec of
+// hertz is not used for it: it takes a malformed field for another one or for none.
+func readHead(h *protocol.ResponseHeader, r *reader, maxBytes int) (needsEnd bool, err error) {
 	h.ResetSkipNormalize()
 	lines := lineReader{reader: r, left: maxBytes}
 	if err := readStatusLine(h, &lines); err != nil {
-		return err
+		return false, err
 	}
 	var c connectionFields
 	for {
 		line, err := lines.next()
 		if err != nil {
-			return err
+			return false, err
 		}
 		if len(line) == 0 {
-			return c.apply(h)
+			return c.unusualLength, c.apply(h)
 		}
 		name, value, err := parseField(line)
 		if err != nil {
-			return err
+			return false, err
 		}
 		if err := c.add(h, name, value); err != nil {
-			return err
+			return false, err
 		}
 	}
 }
@@ -114,14 +114,13 @@
 // quotedMax limits what an error quotes of a response, in bytes.
 const quotedMax = 40
 
-// parseField splits a field line: a token, a colon right after it, and a value without control bytes other than tabs. Blanks and
-// tabs around the value do not belong to it. A folded line is malformed, as RFC 9112, section 5.2, lets a gateway decide.
+// parseField splits a field line: a token, a colon right after it, and a value without control bytes other than tabs. The value is
+// returned with the blanks and tabs around it. A folded line is malformed, as RFC 9112, section 5.2, lets a gateway decide.
 func parseField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 		return nil, nil, fmt.Errorf("%w: field name %.*q", ErrMalformed, quotedMax, name)
 	}
-	value = bytes.Trim(value, " \t")
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
 		return nil, nil, fmt.Errorf("%w: control byte in the value of field %.*q", ErrMalformed, quotedMax, name)
 	}
@@ -130,18 +129,21 @@
 
 // connectionFields is what the fields of a head say of the connection and of the end of the body.
 type connectionFields struct {
-	chunked          bool
-	length           int
-	hasLength        bool
+	chunked   bool
+	length    int
+	hasLength bool
+	// unusualLength means that the length is valid, but in a form that one changed byte could have made of another length.
+	unusualLength    bool
 	close, keepAlive bool
 }
 
-// add takes over one field.
-func (c *connectionFields) add(h *protocol.ResponseHeader, name, value []byte) error {
+// add takes over one field. Blanks and tabs around the value do not belong to it.
+func (c *connectionFields) add(h *protocol.ResponseHeader, name, padded []byte) error {
 	utils.NormalizeHeaderKey(name, false)
+	value := bytes.Trim(padded, " \t")
 	switch string(name) {
 	case consts.HeaderContentLength:
-		return c.addLength(string(value))
+		return c.addLength(string(padded))
 	case consts.HeaderTransferEncoding:
 		return c.addCoding(value)
 	case consts.HeaderTrailer:
@@ -157,6 +159,7 @@
 
 // addLength takes a length of decimal digits. Several lengths, in one field or in more, must be equal (RFC 9112, section 6.3).
 func (c *connectionFields) addLength(value string) error {
+	repeated := c.hasLength
 	for text := range strings.SplitSeq(value, ",") {
 		length, err := strconv.ParseUint(strings.Trim(text, " \t"), 10, strconv.IntSize-1)
 		if err != nil {
@@ -167,6 +170,7 @@
 		}
 		c.length, c.hasLength = int(length), true
 	}
+	c.unusualLength = repeated || strings.TrimPrefix(value, " ") != strconv.Itoa(c.length)
 	return nil
 }
 
--- a/server/transport/httpclient/head_test.go
+++ b/server/transport/httpclient/head_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -115,6 +117,11 @@
 	"204: announces a length":              "HTTP/1.1 204 No Content\r\n" + lengthTwo + "\r\nok",
 	"204: announces chunks":                "HTTP/1.1 204 No Content\r\n" + chunkedOne + chunkedOK,
 	"204: announces a length, no body":     "HTTP/1.1 204 No Content\r\n" + lengthTwo + "\r\n",
+	"length: first digit lost":             okLine + "Content-Length:  2\r\n\r\nok, and ten bytes",
+	"length: last digit lost":              okLine + "Content-Length: 2 \r\n\r\nok, and more",
+	"length: digit became a tab":           okLine + "Content-Length:\t2\r\n\r\nok, and more",
+	"length: digit became a comma":         okLine + "Content-Length: 2,2\r\n\r\nok, and more",
+	"lengths: equal, body is longer":       okLine + lengthTwo + lengthTwo + "\r\nok, and more",
 }
 
 // malformedHeadsOfHEAD are heads of responses to HEAD.
@@ -211,6 +218,59 @@
 	}
 }
 
+// Guards against complete responses in an unusual form that are lost, or waited for until a timeout, on a connection that the
+// server closes, or keeps open for the next request.
+func TestUnusualResponsesOnConnections(t *testing.T) {
+	for name, raw := range unusualResponses {
+		for _, keepsOpen := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept open %v", name, keepsOpen), func(t *testing.T) {
+				address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, raw)
+					if keepsOpen {
+						_, _ = io.Copy(io.Discard, r)
+					}
+				})
+				resp, err := get(t.Context(), newClient(t), address, "GET")
+				assert.NilError(t, err)
+				want := "ok"
+				if resp.MustSkipBody() {
+					want = ""
+				}
+				assert.Equal(t, string(resp.Body()), want)
+			})
+		}
+	}
+}
+
+// keptOpen is a connection of which no more bytes arrive.
+type keptOpen struct{}
+
+func (keptOpen) Read([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+
+// Guards against a response whose length is in a form that a spoilt byte may have made, and that counts as whole although its
+// connection does not end with its body.
+func TestLengthInUnusualFormNeedsEnd(t *testing.T) {
+	for _, field := range []string{
+		"Content-Length:  2", "Content-Length: 2 ", "Content-Length:\t2", "Content-Length: 02", "Content-Length: 2,2",
+		"Content-Length: 2\r\nContent-Length: 2",
+	} {
+		raw := okLine + field + "\r\n\r\nok"
+		for arrival, wrap := range arrivals {
+			t.Run(field+", "+arrival, func(t *testing.T) {
+				_, err := parse(wrap(strings.NewReader(raw)), "GET", Limits{})
+				assert.NilError(t, err)
+				_, err = parse(wrap(strings.NewReader(raw+"x")), "GET", Limits{})
+				assert.ErrorIs(t, err, ErrMalformed)
+				_, err = parse(wrap(io.MultiReader(strings.NewReader(raw), keptOpen{})), "GET", Limits{})
+				assert.ErrorIs(t, err, ErrCut)
+			})
+		}
+	}
+}
+
 // Guards against a request that waits for its deadline, or a connection that is used again, after a malformed head.
 func TestMalformedHeadEndsConnection(t *testing.T) {
 	for name, raw := range malformedHeads {
--- a/server/transport/httpclient/httpclient.go
+++ b/server/transport/httpclient/httpclient.go
@@ -314,7 +314,7 @@
 	return !success && len(req.Body()) > readWithHead
 }
 
-// readResponse reads one whole response. framed is false if its body ended with the connection.
+// readResponse reads one whole response. framed is false if its body ended with the connection, or had to.
 func (c *Client) readResponse(cn *conn, req *protocol.Request, resp *protocol.Response) (framed bool, err error) {
 	resp.Reset()
 	resp.Header.SetNoDefaultContentType(true)
@@ -322,33 +322,58 @@
 		resp.SkipBody = true
 	}
 	cn.reader.max = c.limits.HeaderMaxBytes
-	if err := c.readHeads(resp, cn.reader); err != nil {
+	headNeedsEnd, err := c.readHeads(resp, cn.reader)
+	if err != nil {
 		return false, err
 	}
 	if resp.MustSkipBody() {
 		return true, nil
 	}
 	unframed := resp.Header.ContentLength() == bodyUntilClose
-	return !unframed, c.readBody(resp, cn.reader)
+	bodyNeedsEnd, err := c.readBody(resp, cn.reader)
+	if err != nil {
+		return false, err
+	}
+	if headNeedsEnd || bodyNeedsEnd {
+		return false, cn.expectEnd()
+	}
+	return !unframed, nil
+}
+
+// expectEnd reads the orderly end of the connection. It closes the sending half, so that a server which waits for the next request
+// ends the connection too.
+func (c *conn) expectEnd() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	switch _, err := c.reader.Peek(1); {
+	case err == nil:
+		return fmt.Errorf("%w: bytes after a body whose length has an unusual form", ErrMalformed)
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return cut(c.reader, err)
+	}
 }
 
 // informationalMax limits the informational responses before a final one. A server in trouble sends them without end.
 const informationalMax = 8
 
-// readHeads reads the head of the final response and skips informational ones.
-func (c *Client) readHeads(resp *protocol.Response, r *reader) error {
+// readHeads reads the head of the final response and skips informational ones. needsEnd is that of readHead.
+func (c *Client) readHeads(resp *protocol.Response, r *reader) (needsEnd bool, err error) {
 	for range informationalMax + 1 {
-		if err := readHead(&resp.Header, r, c.limits.HeaderMaxBytes); err != nil {
-			return cut(r, err)
+		needsEnd, err := readHead(&resp.Header, r, c.limits.HeaderMaxBytes)
+		if err != nil {
+			return false, cut(r, err)
 		}
 		switch status := resp.StatusCode(); {
 		case status >= 200:
-			return nil
+			return needsEnd, nil
 		case status == 101:
-			return fmt.Errorf("unexpected status %d: %w", status, ErrCut)
+			return false, fmt.Errorf("unexpected status %d: %w", status, ErrCut)
 		}
 	}
-	return fmt.Errorf("more than %d informational responses: %w", informationalMax, ErrCut)
+	return false, fmt.Errorf("more than %d informational responses: %w", informationalMax, ErrCut)
 }
 
 // cut maps an error of a reader to ErrTooLarge, ErrMalformed, ErrCut, or the error of the connection.
--- a/standin/platform/malformed.go
+++ b/standin/platform/malformed.go
@@ -65,6 +65,9 @@
 		return "HTTP/1.1 503 Service Unavailable" + head[len("HTTP/1.1 200 OK"):] + "Not-Executed: 1\r\nX Trouble: a\r\n" +
 			lengthField(0) + "\r\n"
 	},
+	"length without its first digit": func(head, body string) string {
+		return head + fmt.Sprintf("Content-Length:  %d\r\n\r\n%s", len(body)%10, body)
+	},
 	"204 with a length": func(head, body string) string {
 		return noContent(head) + lengthField(len(body)) + "\r\n" + body
 	},
