Pass on all of several Content-Type and Server fields of a response

Callers saw: one Content-Type and one Server, the last, of an answer with several.

Cause: the header of hertz has one slot for each of these fields, in which the client kept the last one, and the writer of the response again. An empty one was left out.

Evidence: with the fields as before, TestFieldsOfResponses and, through the whole program, "several types and servers" of TestUnusualAnswersReachTheirCaller failed, closed and kept open. They pass now.

Change: both fields are kept like any other, and the writers of both kinds of nodes add them through httpserver.AddField. The comparison of FuzzResponse no longer allows the difference.

TestUnusualAnswersReachTheirCaller also sends, through the whole program, complete answers with blanks around the length, a list of equal lengths, chunk extensions and a trailer, and an empty line first without a reason. They passed before and pass now.

Why it works: what several such fields mean is left to the caller, who gets the fields that the target sent; none is chosen on the way.

--- a/server/coordination/ingress/http.go
+++ b/server/coordination/ingress/http.go
@@ -97,7 +97,7 @@
 	c.SetStatusCode(outcome.HTTPStatus(r.Outcome, r.Reason, r.Status))
 	if r.Outcome == outcome.Answered {
 		for _, field := range wire.Forwarded(r.Headers, strippedResponseHeaders) {
-			header.Add(field.Name, field.Value)
+			httpserver.AddField(header, field.Name, field.Value)
 		}
 		httpserver.SetBody(c, r.Body, contentLength(r.Headers))
 		header.Set(outcome.HeaderOutcome, r.Outcome.String())
--- a/server/transport/httpclient/head.go
+++ b/server/transport/httpclient/head.go
@@ -210,14 +210,10 @@
 // announcesBody reports whether a body would follow a head whose status allows one.
 func (c *connectionFields) announcesBody() bool { return c.chunked || c.length > 0 }
 
-// addField adds a field under its normalized name. The header keeps one value of some fields; codings of a body apply one after
-// the other, so that none may be left out.
+// addField adds a field under its normalized name. The header keeps one value of Content-Encoding; codings of a body apply one
+// after the other, so that none may be left out.
 func addField(h *protocol.ResponseHeader, name, value []byte) {
 	switch string(name) {
-	case consts.HeaderContentType:
-		h.SetContentTypeBytes(value)
-	case consts.HeaderServer:
-		h.SetServerBytes(value)
 	case consts.HeaderSetCookie:
 		h.ParseSetCookie(value)
 	case consts.HeaderContentEncoding:
--- a/server/transport/httpclient/head_test.go
+++ b/server/transport/httpclient/head_test.go
@@ -323,11 +323,11 @@
 // Guards against fields that are lost, joined wrongly or changed.
 func TestFieldsOfResponses(t *testing.T) {
 	const raw = okLine + "x-a:  one \r\nX-A: two\r\nContent-Type: text/plain\r\nServer: s\r\nSet-Cookie: a=1; Path=/\r\n" +
-		"Set-Cookie: a=2\r\nContent-Encoding: gzip\r\nContent-Encoding: br\r\nConnection: X-Hop, Close\r\n" + lengthTwo + "\r\nok"
+		"content-type: text/html\r\nServer: t\r\nServer:\r\nSet-Cookie: a=2\r\nContent-Encoding: gzip\r\nContent-Encoding: br\r\nConnection: X-Hop, Close\r\n" + lengthTwo + "\r\nok"
 	resp, err := parse(strings.NewReader(raw), "GET", Limits{})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, fieldsOf(resp), http.Header{
-		"X-A": {"one", "two"}, "Content-Type": {"text/plain"}, "Server": {"s"}, "Set-Cookie": {"a=1; Path=/", "a=2"},
+		"X-A": {"one", "two"}, "Content-Type": {"text/plain", "text/html"}, "Server": {"s", "t", ""}, "Set-Cookie": {"a=1; Path=/", "a=2"},
 		"Content-Encoding": {"gzip, br"},
 	})
 	assert.Assert(t, resp.ConnectionClose(), "an option of a list, in any case")
@@ -432,25 +432,18 @@
 	return slices.ContainsFunc(knownDifferences, func(r *regexp.Regexp) bool { return r.Match(raw) })
 }
 
-// comparableFields brings fields as the standard library has them into the form that the codec's header keeps: one Content-Type
-// and one Server, no empty ones of these, and the codings of a body in one field.
+// comparableFields brings fields as the standard library has them into the form that the codec's header keeps: the codings of a
+// body in one field, which is not empty.
 func comparableFields(fields http.Header) http.Header {
 	fields = withoutConnection(fields)
 	if fields.Get("Pragma") == "no-cache" && len(fields["Cache-Control"]) == 1 {
 		fields.Del("Cache-Control") // The standard library derives it.
 	}
-	for _, name := range []string{"Content-Type", "Server"} {
-		if values := fields[name]; len(values) > 0 {
-			fields[name] = values[len(values)-1:]
-		}
-	}
 	if values := fields["Content-Encoding"]; len(values) > 0 {
 		fields["Content-Encoding"] = []string{strings.Join(values, ", ")}
 	}
-	for _, name := range []string{"Content-Type", "Server", "Content-Encoding"} {
-		if fields.Get(name) == "" {
-			fields.Del(name)
-		}
+	if fields.Get("Content-Encoding") == "" {
+		fields.Del("Content-Encoding")
 	}
 	return fields
 }
--- a/standin/platform/malformed.go
+++ b/standin/platform/malformed.go
@@ -101,26 +101,45 @@
 	},
 }
 
+// UnusualAnswers are the forms of TargetFaults.Unusual, by name: complete answers as no library writes them.
+var UnusualAnswers = map[string]func(head, body string) string{
+	"blanks around the length": func(head, body string) string {
+		return head + fmt.Sprintf("Content-Length: \t%d \r\n\r\n%s", len(body), body)
+	},
+	"list of equal lengths": func(head, body string) string {
+		return head + fmt.Sprintf("Content-Length: %d, %[1]d\r\n\r\n%s", len(body), body)
+	},
+	"chunk extensions and a trailer": func(head, body string) string {
+		return head + fmt.Sprintf("Transfer-Encoding: Chunked\r\n\r\n%X ;a=b\r\n%s\r\n0\r\nX-T: a\r\n\r\n", len(body), body)
+	},
+	"empty line first, no reason": func(head, body string) string {
+		return "\r\nHTTP/1.1 200" + head[len("HTTP/1.1 200 OK"):] + lengthField(len(body)) + "\r\n" + body
+	},
+	"several types and servers": func(head, body string) string {
+		return head + "Content-Type: text/plain\r\nServer: a\r\nContent-Type: text/html\r\nServer: b\r\n" + lengthField(len(body)) +
+			"\r\n" + body
+	},
+}
+
 func noContent(head string) string { return "HTTP/1.1 204 No Content" + head[len("HTTP/1.1 200 OK"):] }
 
 func lengthField(length int) string { return fmt.Sprintf("Content-Length: %d\r\n", length) }
 
 func chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
 
-// malformedHold is how long a target waits for the end of a connection after a malformed answer with which it keeps it open.
-const malformedHold = 10 * time.Second
+// formHold is how long a target waits for the end of a connection that it keeps open after an answer of a given form.
+const formHold = 10 * time.Second
 
-// writeMalformed writes an answer of the given form past the HTTP library. With keep, it leaves the end of the connection to the
-// node.
-func (t *Target) writeMalformed(w http.ResponseWriter, form, head, body string, keep bool) {
+// writeForm writes an answer past the HTTP library. With keep, it leaves the end of the connection to the node.
+func (t *Target) writeForm(w http.ResponseWriter, answer string, keep bool) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	if _, err := io.WriteString(conn, MalformedAnswers[form](head+malformedStatements, body)); err != nil || !keep {
+	if _, err := io.WriteString(conn, answer); err != nil || !keep {
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(malformedHold))
+	_ = conn.SetReadDeadline(time.Now().Add(formHold))
 	_, _ = io.Copy(io.Discard, conn)
 }
--- a/standin/platform/target.go
+++ b/standin/platform/target.go
@@ -55,10 +55,10 @@
 	Lose, Cut float64
 	// Extra answers are followed by a second one, Unframed ones end with the connection.
 	Extra, Unframed float64
-	// Malformed is the form of MalformedAnswers that every answer has; empty for none. After it the target closes the connection,
-	// or with KeepsOpen leaves that to the node.
-	Malformed string
-	KeepsOpen bool
+	// Malformed is the form of MalformedAnswers that every answer has, Unusual that of UnusualAnswers; empty for none. After it the
+	// target closes the connection, or with KeepsOpen leaves that to the node.
+	Malformed, Unusual string
+	KeepsOpen          bool
 	// RepeatRefusals writes the last refusal of a connection once more before the answer to the next request on it.
 	RepeatRefusals bool
 	// RefusalsWithoutID leaves the id of the request out of refusals.
@@ -272,7 +272,7 @@
 type fate struct {
 	shed, fail, lose, cut, extra, unframed bool
 	silent, keepsBroken, keepsOpen         bool
-	malformed                              string
+	malformed, unusual                     string
 	work                                   time.Duration
 }
 
@@ -287,7 +287,7 @@
 	}
 	return fate{
 		shed: hit(f.Shed), fail: hit(f.Fail), lose: hit(f.Lose), cut: hit(f.Cut), extra: hit(f.Extra), unframed: hit(f.Unframed),
-		silent: f.Silent, keepsBroken: f.KeepsBroken, keepsOpen: f.KeepsOpen, malformed: f.Malformed,
+		silent: f.Silent, keepsBroken: f.KeepsBroken, keepsOpen: f.KeepsOpen, malformed: f.Malformed, unusual: f.Unusual,
 		work: max(f.Least, time.Duration(t.random.ExpFloat64()*slow*float64(t.settings.Work))),
 	}
 }
@@ -465,7 +465,10 @@
 	case last != nil && *last != "":
 		t.raw(w, *last+framed)
 	case f.malformed != "":
-		t.writeMalformed(w, f.malformed, head, body, f.keepsOpen)
+		t.writeForm(w, MalformedAnswers[f.malformed](head+malformedStatements, body), f.keepsOpen)
+	case f.unusual != "":
+		// The target reads no further request from a connection that it has taken from the HTTP library.
+		t.writeForm(w, UnusualAnswers[f.unusual](head+"Connection: close\r\n", body), f.keepsOpen)
 	case f.lose:
 		hangUp(w)
 	case f.cut:
