--- a/server/transport/httpclient/spoilt_byte_test.go
+++ b/server/transport/httpclient/corrupted_byte_test.go
@@ -42,8 +42,8 @@
 // bodyLikeHead is a body that reads like the rest of a head and a chunk.
 const bodyLikeHead = "X-B: 1\r\n\r\n1\r\nx\r\n0\r\n\r\n!"
 
-// soundResponses are complete responses by the form of their framing. The body of each, if any, is bodyLikeHead.
-func soundResponses() map[string][]segment {
+// completeResponses are complete responses by the form of their framing. The body of each, if any, is bodyLikeHead.
+func completeResponses() map[string][]segment {
 	fields := slices.Concat(fieldSegments("X-A", "one two"), fieldSegments("Request-Id", "r1"), fieldSegments("Server", "a/1 (b:c)"))
 	more := slices.Concat(fieldSegments("Content-Type", "text/plain"), fieldSegments("Set-Cookie", "a=1; Path=/"))
 	length := segment{text: fmt.Sprintf("Content-Length: %d\r\n", len(bodyLikeHead))}
@@ -91,8 +91,8 @@
 	return s
 }
 
-// spoiltBytes are a blank and all control bytes.
-func spoiltBytes() []byte {
+// corruptBytes are a blank and all control bytes.
+func corruptBytes() []byte {
 	all := []byte{' ', 0x7f}
 	for b := range byte(' ') {
 		all = append(all, b)
@@ -100,14 +100,14 @@
 	return all
 }
 
-// spoiltResponse is a response in which one byte was put or exchanged.
-type spoiltResponse struct {
+// corruptedResponse is a response in which one byte was put or exchanged.
+type corruptedResponse struct {
 	raw  string
 	want sent
 }
 
-// spoil returns a response with b put before the byte at a place of one part, or in its stead.
-func spoil(response []segment, part, at int, b byte, exchange bool) spoiltResponse {
+// corrupt returns a response with b put before the byte at a place of one part, or in its stead.
+func corrupt(response []segment, part, at int, b byte, exchange bool) corruptedResponse {
 	changed := slices.Clone(response)
 	text := changed[part].text
 	rest := text[at:]
@@ -123,7 +123,7 @@
 	if changed[part].kind == value && (b == ' ' || b == '\t') {
 		want = sentBy(changed)
 	}
-	return spoiltResponse{raw: raw.String(), want: want}
+	return corruptedResponse{raw: raw.String(), want: want}
 }
 
 // keptOpen is a connection of which no more bytes arrive.
@@ -134,20 +134,20 @@
 // Guards against a blank, a control byte or a line end that slipped into a complete response at any place but its body, and out of
 // which the client reads another response: with the rest of a head for its body, with a part of the body, or with a field that the
 // server did not send. No other reader is asked, so that a leniency that readers share is found too.
-func TestSpoiltByteIsNoOtherResponse(t *testing.T) {
-	responses := soundResponses()
+func TestCorruptedByteIsNoOtherResponse(t *testing.T) {
+	responses := completeResponses()
 	for _, name := range slices.Sorted(maps.Keys(responses)) {
 		t.Run(name, func(t *testing.T) {
-			check := newSpoiltByteCheck(t, responses[name], name)
+			check := newCorruptionCheck(t, responses[name], name)
 			for part, s := range responses[name] {
 				if s.kind == data {
 					continue
 				}
 				for at := range s.text {
-					for _, b := range spoiltBytes() {
-						check.try(spoil(responses[name], part, at, b, true))
+					for _, b := range corruptBytes() {
+						check.try(corrupt(responses[name], part, at, b, true))
 						if !isBeforeBody(responses[name], part, at, b) {
-							check.try(spoil(responses[name], part, at, b, false))
+							check.try(corrupt(responses[name], part, at, b, false))
 						}
 					}
 				}
@@ -164,8 +164,8 @@
 	return part+1 < len(response) && response[part+1].kind == data && at == len(text)-1 && text[at] == b
 }
 
-// spoiltByteCheck counts the responses that are taken for others.
-type spoiltByteCheck struct {
+// corruptionCheck counts the responses that are taken for others.
+type corruptionCheck struct {
 	client       *Client
 	request      protocol.Request
 	status       int
@@ -173,9 +173,9 @@
 	first        string
 }
 
-func newSpoiltByteCheck(t *testing.T, response []segment, name string) *spoiltByteCheck {
+func newCorruptionCheck(t *testing.T, response []segment, name string) *corruptionCheck {
 	t.Helper()
-	c := &spoiltByteCheck{status: http.StatusOK}
+	c := &corruptionCheck{status: http.StatusOK}
 	var err error
 	c.client, err = New(Limits{UnframedBodies: true})
 	assert.NilError(t, err)
@@ -188,7 +188,7 @@
 	case "304":
 		c.status = http.StatusNotModified
 	}
-	whole := spoiltResponse{want: sentBy(response)}
+	whole := corruptedResponse{want: sentBy(response)}
 	for _, part := range response {
 		whole.raw += part.text
 	}
@@ -200,14 +200,14 @@
 	return c
 }
 
-func (c *spoiltByteCheck) read(src io.Reader) (*protocol.Response, error) {
+func (c *corruptionCheck) read(src io.Reader) (*protocol.Response, error) {
 	resp := &protocol.Response{}
 	_, err := c.client.readResponse(&conn{reader: newReader(src)}, &c.request, resp)
 	return resp, err
 }
 
 // try reads a response whole and in pieces, from a connection that ends after it and from one that stays open.
-func (c *spoiltByteCheck) try(s spoiltResponse) {
+func (c *corruptionCheck) try(s corruptedResponse) {
 	raw := []byte(s.raw)
 	half := len(raw) / 2
 	for _, arrival := range []struct {
--- a/server/transport/httpclient/head_test.go
+++ b/server/transport/httpclient/head_test.go
@@ -256,7 +256,7 @@
 	}
 }
 
-// Guards against a response whose length is in a form that a spoilt byte may have made, and that counts as whole although its
+// Guards against a response whose length is in a form that a corrupted byte may have made, and that counts as whole although its
 // connection does not end with its body.
 func TestLengthInUnusualFormNeedsEnd(t *testing.T) {
 	for _, field := range []string{
