Name the padded length, state its usual form

Cause: the parameter of addLength holds the blanks around the value, which its name did not say. Change: a name and comments only.

--- a/server/transport/httpclient/head.go
+++ b/server/transport/httpclient/head.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// lineReader reads lines that end with CRLF. RFC 9112, section 2.2, lets a recipient take LF alone as well, but no sender writes
-// it: an LF that slipped into a head would end its line, or the head.
+// lineReader reads lines that end with CRLF. RFC 9112, section 2.2, lets a recipient take LF alone as well, but a sender must
+// not write it: an LF that slipped into a head would end its line, or the head.
 type lineReader struct {
 	reader *reader
 	// left is the number of bytes that all further lines may have.
@@ -158,20 +158,21 @@
 	return nil
 }
 
-// addLength takes a length of decimal digits. Several lengths, in one field or in more, must be equal (RFC 9112, section 6.3).
-func (c *connectionFields) addLength(value string) error {
+// addLength takes a length of decimal digits. Several lengths, in one field or in more, must be equal (RFC 9112, section 6.3). The
+// usual form is one field with one blank or none and the digits, without leading zeros.
+func (c *connectionFields) addLength(padded string) error {
 	repeated := c.hasLength
-	for text := range strings.SplitSeq(value, ",") {
+	for text := range strings.SplitSeq(padded, ",") {
 		length, err := strconv.ParseUint(strings.Trim(text, " \t"), 10, strconv.IntSize-1)
 		if err != nil {
-			return fmt.Errorf("%w: content length %.*q", ErrMalformed, quotedMax, value)
+			return fmt.Errorf("%w: content length %.*q", ErrMalformed, quotedMax, padded)
 		}
 		if c.hasLength && c.length != int(length) {
 			return fmt.Errorf("%w: content lengths %d and %d", ErrMalformed, c.length, length)
 		}
 		c.length, c.hasLength = int(length), true
 	}
-	c.unusualLength = repeated || strings.TrimPrefix(value, " ") != strconv.Itoa(c.length)
+	c.unusualLength = repeated || strings.TrimPrefix(padded, " ") != strconv.Itoa(c.length)
 	return nil
 }
 
--- a/standin/platform/malformed.go
+++ b/standin/platform/malformed.go
@@ -101,7 +101,7 @@
 	},
 }
 
-// UnusualAnswers are the forms of TargetFaults.Unusual, by name: complete answers as no library writes them.
+// UnusualAnswers are the forms of TargetFaults.Unusual, by name: complete answers that few libraries write.
 var UnusualAnswers = map[string]func(head, body string) string{
 	"blanks around the length": func(head, body string) string {
 		return head + fmt.Sprintf("Content-Length: \t%d \r\n\r\n%s", len(body), body)
