--- a/server/transport/httpclient/corrupted_byte_test.go
+++ b/server/transport/httpclient/corrupted_byte_test.go
@@ -36,7 +36,7 @@
 )
 
 func fieldSegments(name, text string) []segment {
-	return []segment{{text: name + ":"}, {" " + text, value, name}, {text: "\r\n"}}
+	return []segment{{text: name + ":", kind: structure}, {" " + text, value, name}, {text: "\r\n", kind: structure}}
 }
 
 // bodyLikeHead is a body that reads like the rest of a head and a chunk.
