Report a deadline of a streamed request as one, not as a cancellation

A caller's timeout would be recorded as its own cancellation.

Cause: a context that ends tells the contexts below it one by one. If the one that closes the connection comes first, the exchange ends, and it cancels the sending before the deadline has reached that.

TestDeadlineBeforeTheBodyLearnsOfIt has this order fixed, and failed before the change.

Change: if the context has ended and the sending was ended, the error of the body is that of the context. Errors of the body's own stay.

--- a/server/transport/httpclient/stream.go
+++ b/server/transport/httpclient/stream.go
@@ -35,9 +35,8 @@
 	sent := make(chan error, 1)
 	go func() {
 		err := writeStreamed(sending, cn, head, body)
-		if errors.Is(err, ErrBody) && sending.Err() != nil && ctx.Err() == nil {
-			// The exchange has ended for another reason.
-			err = nil
+		if errors.Is(err, ErrBody) && sending.Err() != nil {
+			err = endedBodyError(ctx, sending, err)
 		}
 		if errors.Is(err, ErrBody) {
 			cn.abort()
@@ -53,6 +52,19 @@
 	return err
 }
 
+// endedBodyError returns the error of a body whose sending was ended: nil if the exchange has ended for another reason than ctx, and
+// the end of ctx if that ended the body, since ctx may close the connection before its end has reached sending.
+func endedBodyError(ctx, sending context.Context, err error) error {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(err, sending.Err()):
+		return fmt.Errorf("%w: %w", ErrBody, ctx.Err())
+	default:
+		return err
+	}
+}
+
 // writeStreamed writes a request. An error of the connection is left to the reader of the response, which may have arrived.
 func writeStreamed(ctx context.Context, cn *conn, head []byte, body *Body) error {
 	w := bufio.NewWriterSize(cn, readBufferBytes)
--- a/server/transport/httpclient/stream_test.go
+++ b/server/transport/httpclient/stream_test.go
@@ -33,6 +33,29 @@
 	}}
 }
 
+// expiredContext is past its deadline, and has not told the contexts below it yet.
+type expiredContext struct{ context.Context }
+
+func (expiredContext) Err() error { return context.DeadlineExceeded }
+
+// Guards against a deadline that is reported as a cancellation, if it closes the connection before it reaches the body.
+func TestDeadlineBeforeTheBodyLearnsOfIt(t *testing.T) {
+	client, server := net.Pipe()
+	go func() {
+		_, _ = http.ReadRequest(bufio.NewReader(server))
+		server.Close()
+	}()
+	var req protocol.Request
+	var resp protocol.Response
+	req.SetMethod("POST")
+	req.SetRequestURI("/")
+	req.SetHost("target")
+	err := newClient(t).exchangeStreamed(expiredContext{t.Context()}, newConn(client, ""), &req, pieces(6, nil, "abc"), &resp,
+		func(*protocol.Response) Match { return Matched })
+	assert.ErrorIs(t, err, ErrBody)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
 // Guards against streamed bodies that are framed wrongly, seem whole to the server although they were cut short, or keep a
 // request waiting after the server has responded, and against a connection that is used again after one.
 func TestStreamedBodies(t *testing.T) {
