Require keys by the presence of the list of organisations, even an empty one

Cause: presence is lost on the way. The decoder took `tenants` into a slice, config.Content kept only the slice, which msgpack leaves out when it is empty, and authorize (and explain, by a copy of the question) took an empty slice for a platform without keys. Keeping an empty slice in the decoder alone would have left all nodes open that get the configuration from another node.

--- a/server/coordination/control/installs.go
+++ b/server/coordination/control/installs.go
@@ -47,6 +47,8 @@
 	Version  config.Version
 	Sequence uint64
 	Routes   int
+	// KeysRequired is whether requests need the key of an organisation.
+	KeysRequired bool
 	// From is the peer that sent the state.
 	From string
 	// AgeMS is the time in milliseconds since a reader received the publication from the source. It compares two clocks
@@ -65,7 +67,8 @@
 	state := l.state.Load()
 	i := SnapshotInstall{
 		Version: state.Version(), Sequence: state.Sequence(), Routes: len(state.Content().Routes), From: from,
-		HighestSeen: l.HighestOffset(), ContactAge: l.ContactAge(), Ready: l.ready,
+		KeysRequired: state.Content().RequiresKeys(),
+		HighestSeen:  l.HighestOffset(), ContactAge: l.ContactAge(), Ready: l.ready,
 	}
 	if history := state.History(); len(history) > 0 {
 		i.AgeMS = now.UnixMilli() - history[0].TimeMS
--- a/server/coordination/dispatch/authorize.go
+++ b/server/coordination/dispatch/authorize.go
@@ -11,18 +11,14 @@
 	"wagtailford.example/server/state/view"
 )
 
-const (
-	headerAuthorization = "Authorization"
-	schemeBearer        = "Bearer"
-)
+const schemeBearer = "Bearer"
 
 // authorize returns the organisation of a request, which is nil for calls of the local target and on public routes, or the
-// refusal of a request without a valid key. Without organisations in the configuration, the field is forwarded like any
-// other.
+// refusal of a request without a valid key. If the configuration requires no keys, the field is forwarded like any other.
 func (h *Handler) authorize(v *view.View, route *config.Route, r *Request) (*config.Organisation, *Result) {
-	if len(v.Content.Organisations) == 0 {
+	if !v.Content.RequiresKeys() {
 		for _, value := range r.Authorization {
-			r.Headers = append(r.Headers, wire.Header{Name: headerAuthorization, Value: value})
+			r.Headers = append(r.Headers, wire.Header{Name: wire.HeaderAuthorization, Value: value})
 		}
 		return nil, nil
 	}
--- a/server/coordination/dispatch/explain_test.go
+++ b/server/coordination/dispatch/explain_test.go
@@ -245,6 +245,12 @@
 		}, outcome.ReasonBehind, behindRetryAfter},
 		{"unknown organisation", "/r/1", "other", func(*Handler, *view.View) {}, outcome.ReasonUnauthorized, 0},
 		{"organisation without keys", "/r/1", "without a key", func(*Handler, *view.View) {}, outcome.ReasonUnauthorized, 0},
+		{"empty list of organisations", "/r/1", "", func(_ *Handler, v *view.View) {
+			v.Content.Authentication, v.Content.Organisations = config.KeysRequired, nil
+		}, outcome.ReasonUnauthorized, 0},
+		{"no list of organisations", "/r/1", "", func(_ *Handler, v *view.View) {
+			v.Content.Authentication, v.Content.Organisations = config.KeysNotRequired, nil
+		}, outcome.ReasonNone, 0},
 		{"stopping", "/r/1", "small", func(h *Handler, _ *view.View) { h.StopAccepting() }, outcome.ReasonShutdown, shutdownRetryAfter},
 		{"quota", "/r/1", "small", func(h *Handler, v *view.View) {
 			for range 120 {
--- a/server/coordination/follow/source_follower.go
+++ b/server/coordination/follow/source_follower.go
@@ -168,7 +168,8 @@
 	f.Counters.Installed.Add(1)
 	f.logger.WithFields(log.Fields{
 		"event": "configuration", "version": w.Offset, "sequence": w.Sequence, "routes": len(w.Content.Routes),
-		"records": w.Read.Records, "bytes": w.Read.Bytes, "newest": w.Read.Newest, "wait_ms": wait.Milliseconds(),
+		"keys_required": w.Content.RequiresKeys(),
+		"records":       w.Read.Records, "bytes": w.Read.Bytes, "newest": w.Read.Newest, "wait_ms": wait.Milliseconds(),
 		"read_ms": read.Milliseconds(), "decode_ms": w.Read.Decoding.Milliseconds(),
 		"install_ms": time.Since(began).Milliseconds(),
 	}).Info("configuration in force")
--- a/server/coordination/malformed/decode.go
+++ b/server/coordination/malformed/decode.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // ErrMissing means that an entry lacks a required field, or that the field is null or empty.
@@ -22,6 +23,19 @@
 	return checkRequired(reflect.ValueOf(value).Elem())
 }
 
+// Optional is an optional member of an object. Present distinguishes a member that is null or empty from an absent one; the
+// value of null is the zero value.
+type Optional[T any] struct {
+	Present bool
+	Value   T
+}
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (o *Optional[T]) UnmarshalJSONFrom(d *jsontext.Decoder) error {
+	o.Present = true
+	return json.UnmarshalDecode(d, &o.Value)
+}
+
 // checkRequired returns an error for the first required field of a struct, or of the structs in it, that is not set.
 func checkRequired(object reflect.Value) error {
 	for i := range object.NumField() {
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -215,7 +215,8 @@
 func logSnapshotInstall(i control.SnapshotInstall) {
 	log.WithFields(log.Fields{
 		"event": "configuration", "version": i.Version, "sequence": i.Sequence, "routes": i.Routes, "from": i.From,
-		"age_ms": i.AgeMS, "newest": i.HighestSeen, "contact_ms": i.ContactAge.Milliseconds(), "ready": i.Ready,
+		"keys_required": i.KeysRequired,
+		"age_ms":        i.AgeMS, "newest": i.HighestSeen, "contact_ms": i.ContactAge.Milliseconds(), "ready": i.Ready,
 	}).Info("configuration in force")
 }
 
--- a/server/protocol/wire/headers.go
+++ b/server/protocol/wire/headers.go
@@ -12,6 +12,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 )
 
+// HeaderAuthorization is the field with the key of an organisation.
+const HeaderAuthorization = "Authorization"
+
 // NameSet holds names in canonical form.
 func NameSet(names ...string) map[string]bool {
 	set := make(map[string]bool, len(names))
--- a/server/state/config/organisations.go
+++ b/server/state/config/organisations.go
@@ -40,6 +40,52 @@
 	Burst         float64 `msgpack:"b,omitempty"`
 }
 
+// Authentication says whether requests have to carry the key of an organisation. It is a member of its own because encodings do
+// not distinguish an empty list of organisations from an absent one.
+type Authentication uint8
+
+// Values of Authentication.
+const (
+	// AuthenticationUnstated is the value of configurations that change by records, and of snapshots of builds without this
+	// member.
+	AuthenticationUnstated Authentication = iota
+	// KeysNotRequired means that the publisher's configuration has no list of organisations.
+	KeysNotRequired
+	// KeysRequired means that it has one, which may be empty.
+	KeysRequired
+)
+
+// RequiresKeys reports whether a request on a route that is not public needs the key of an organisation. It does if the
+// published configuration contains the list of organisations, even an empty one (docs/design/configuration-members.md).
+func (c *Content) RequiresKeys() bool {
+	return c.Authentication == KeysRequired || len(c.Organisations) > 0
+}
+
+// stateAuthentication derives an unstated Authentication from the organisations.
+func (c *Content) stateAuthentication() {
+	if c.Authentication != AuthenticationUnstated {
+		return
+	}
+	c.Authentication = KeysNotRequired
+	if len(c.Organisations) > 0 {
+		c.Authentication = KeysRequired
+	}
+}
+
+// checkAuthentication returns a fault of the Authentication of a complete configuration, or "". An unstated one without
+// organisations is a fault: the build that wrote it may have read an empty list.
+func checkAuthentication(c *Content) string {
+	switch {
+	case c.Authentication > KeysRequired:
+		return fmt.Sprintf("unknown authentication %d", c.Authentication)
+	case c.Authentication == AuthenticationUnstated && len(c.Organisations) == 0:
+		return "does not state whether requests need keys"
+	case c.Authentication == KeysNotRequired && len(c.Organisations) > 0:
+		return fmt.Sprintf("%d organisations, but requests need no keys", len(c.Organisations))
+	}
+	return ""
+}
+
 // AddKey adds a key, or returns an error if it cannot be one.
 func (o *Organisation) AddKey(key string) error {
 	if key == "" || len(key) > KeyMaxBytes {
--- a/server/state/config/organisations_test.go
+++ b/server/state/config/organisations_test.go
@@ -64,6 +64,85 @@
 	assert.ErrorContains(t, o.AddKey(strings.Repeat("k", 64<<10)), "65536 bytes")
 }
 
+// snapshotOf returns the snapshot of a content as the build that set its members wrote it.
+func snapshotOf(t *testing.T, c Content) []byte {
+	state := New()
+	state.offset, state.version, state.sequence, state.content = 3, 3, 3, sorted(&c)
+	data, err := state.EncodeSnapshot()
+	assert.NilError(t, err)
+	return data
+}
+
+// Guards against an empty list of organisations that becomes an absent one, which requires no keys, in a sorted copy, in a
+// snapshot, or in the next configuration after an order of a rollout; and against the reverse.
+func TestRequiredKeysSurviveEachForm(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		content  Content
+		required bool
+	}{
+		{"absent", Content{Authentication: KeysNotRequired}, false},
+		{"unstated, without organisations", Content{}, false},
+		{"unstated, with organisations", Content{Organisations: []Organisation{organisation("a", "k")}}, true},
+		{"empty", Content{Authentication: KeysRequired}, true},
+		{"empty, not nil", Content{Authentication: KeysRequired, Organisations: []Organisation{}}, true},
+		{"organisation without keys", Content{Authentication: KeysRequired, Organisations: []Organisation{organisation("a")}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			state, err := FromWhole(&Whole{Offset: 3, Sequence: 3, Content: c.content})
+			assert.NilError(t, err)
+			assert.Equal(t, state.Content().RequiresKeys(), c.required)
+			for range 2 {
+				data, err := state.EncodeSnapshot()
+				assert.NilError(t, err)
+				state, err = DecodeSnapshot(data)
+				assert.NilError(t, err)
+				assert.Equal(t, state.Content().RequiresKeys(), c.required)
+			}
+			var orders RolloutOrders
+			orders.Set(Rollout{Service: "s", TargetVersion: "v2", Duration: 1, Position: 4})
+			w, changed := orders.Update(state)
+			assert.Assert(t, changed)
+			next, err := FromWhole(w)
+			assert.NilError(t, err)
+			assert.Equal(t, next.Content().RequiresKeys(), c.required)
+		})
+	}
+}
+
+// Guards against a node that requires no keys because a build without the member sent it the configuration, which may have had
+// an empty list, and against contradictory snapshots.
+func TestSnapshotsThatDoNotStateWhetherKeysAreRequired(t *testing.T) {
+	list := []Organisation{organisation("a", "k")}
+	for _, c := range []struct {
+		name    string
+		content Content
+		err     string
+	}{
+		{"older build, no organisations", Content{}, "does not state"},
+		{"older build, organisations", Content{Organisations: list}, ""},
+		{"organisations, but no keys required", Content{Authentication: KeysNotRequired, Organisations: list}, "need no keys"},
+		{"unknown value", Content{Authentication: KeysRequired + 1}, "unknown authentication"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			read, err := DecodeSnapshot(snapshotOf(t, c.content))
+			if c.err != "" {
+				assert.ErrorContains(t, err, c.err)
+				assert.ErrorIs(t, err, ErrUndecodable)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, read.Content().RequiresKeys())
+		})
+	}
+	// A configuration of records has no list of organisations, and its snapshots stay as they are.
+	data, err := New().EncodeSnapshot()
+	assert.NilError(t, err)
+	state, err := DecodeSnapshot(data)
+	assert.NilError(t, err)
+	assert.Assert(t, !state.Content().RequiresKeys())
+}
+
 // Guards against a configuration with very many keys that is installed and cannot be passed on to other nodes.
 func TestManyKeysFitIntoASnapshot(t *testing.T) {
 	o := Organisation{Name: "o", KeyDigests: make([]byte, 100_000*KeyDigestBytes)}
--- a/server/state/config/types.go
+++ b/server/state/config/types.go
@@ -78,7 +78,9 @@
 	CallerIdleTimeout time.Duration `msgpack:"it,omitempty"`
 	// CallerLimits bound the requests of callers.
 	CallerLimits CallerLimits `msgpack:"cl,omitempty"`
-	// Organisations hold the keys that requests have to carry. Without any, requests carry none. Sorted by name.
+	// Authentication says whether requests have to carry a key; see RequiresKeys.
+	Authentication Authentication `msgpack:"au,omitempty"`
+	// Organisations hold the keys that requests may carry. Sorted by name.
 	Organisations []Organisation `msgpack:"o,omitempty"`
 	// Rollouts are the newest orders of the operator, at most one for a service. Sorted by service.
 	Rollouts []Rollout `msgpack:"ro,omitempty"`
--- a/server/state/config/validate.go
+++ b/server/state/config/validate.go
@@ -31,17 +31,15 @@
 
 // sorted returns the content with its slices sorted by name.
 func sorted(c *Content) *Content {
-	out := &Content{
-		Services: slices.Clone(c.Services), Routes: slices.Clone(c.Routes), CallerIdleTimeout: c.CallerIdleTimeout, CallerLimits: c.CallerLimits,
-		Organisations: slices.Clone(c.Organisations), Rollouts: slices.Clone(c.Rollouts),
-		UnplacedRollouts: slices.Clone(c.UnplacedRollouts),
-	}
+	out := *c
+	out.Services, out.Routes, out.Organisations = slices.Clone(c.Services), slices.Clone(c.Routes), slices.Clone(c.Organisations)
+	out.Rollouts, out.UnplacedRollouts = slices.Clone(c.Rollouts), slices.Clone(c.UnplacedRollouts)
 	slices.SortStableFunc(out.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(out.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(out.Organisations, func(a, b Organisation) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(out.Rollouts, compareRollouts)
 	slices.SortStableFunc(out.UnplacedRollouts, compareRollouts)
-	return out
+	return &out
 }
 
 // validate checks a sorted content.
--- a/server/state/config/whole.go
+++ b/server/state/config/whole.go
@@ -76,6 +76,7 @@
 // that FromWhole returns.
 func FromWhole(w *Whole) (*State, error) {
 	content := sorted(&w.Content)
+	content.stateAuthentication()
 	if detail := checkWholeSize(content); detail != "" {
 		return nil, &OversizeError{Sequence: w.Sequence, Detail: detail}
 	}
@@ -120,6 +121,9 @@
 	if detail := checkRollouts(c); detail != "" {
 		return detail
 	}
+	if detail := checkAuthentication(c); detail != "" {
+		return detail
+	}
 	return checkOrganisations(c.Organisations)
 }
 
