Remove the key of an organisation beside the target too

Callers saw: nothing so far; found by the table of ways for a key to a target.

Cause: the node that takes a request removes Authorization by its own configuration.

Change: the executing node removes the field right before it writes the request, by the configuration in force then. The request itself stays as it is, as another target may get it next.

Evidence: TestKeysFromNodesBehindAreRemoved failed before (the target got both values) and passes now.

--- a/server/coordination/execute/execute_test.go
+++ b/server/coordination/execute/execute_test.go
@@ -13,6 +13,7 @@
 	"wagtailford.example/server/coordination/transfer"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/suspect"
 	"wagtailford.example/server/state/view"
 )
@@ -114,6 +115,34 @@
 	assert.DeepEqual(t, answer.Headers, []wire.Header{{Name: "X-Answer", Value: "a"}})
 }
 
+// Guards against a key that reaches a target because the node that took the request had an earlier configuration, which did not
+// require keys.
+func TestKeysFromNodesBehindAreRemoved(t *testing.T) {
+	var got []string
+	target := newTarget(t, func(r *http.Request, _ *bufio.Reader) string {
+		got = r.Header.Values(wire.HeaderAuthorization)
+		return okAnswer
+	})
+	for _, c := range []struct {
+		content *config.Content
+		want    []string
+	}{
+		{nil, []string{"Bearer k", "Bearer l"}},
+		{&config.Content{Authentication: config.KeysNotRequired}, []string{"Bearer k", "Bearer l"}},
+		{&config.Content{Authentication: config.KeysRequired}, nil},
+		{&config.Content{Organisations: []config.Organisation{{Name: "o"}}}, nil},
+	} {
+		n := newNode(t, target.address, func(_ *Settings, d *Dependencies) {
+			d.View = func() *view.View { return &view.View{Ready: true, Content: c.content} }
+		})
+		r := request("/")
+		r.Headers = []wire.Header{{Name: "Authorization", Value: "Bearer k"}, {Name: "authorization", Value: "Bearer l"}}
+		assert.Equal(t, n.Execute(t.Context(), r).Outcome, outcome.Answered)
+		assert.DeepEqual(t, got, c.want)
+		assert.Equal(t, len(r.Headers), 2, "the request of the sender is unchanged")
+	}
+}
+
 // blockingTarget returns a target that blocks requests to /hold until their connection closes.
 func blockingTarget(t *testing.T) (*testTarget, chan struct{}, chan struct{}) {
 	held := make(chan struct{}, 8)
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -64,7 +66,7 @@
 			// The answer to a streamed body waits for the caller, which says nothing about the target.
 			slot.Sent(abandon)
 		}
-		codec.Write(req, r, target, time.Until(deadline))
+		codec.Write(req, e.withoutKey(r), target, time.Until(deadline))
 		return nil
 	}
 	matcher := func(resp *protocol.Response) httpclient.Match {
@@ -97,6 +99,19 @@
 	return markArrived(answered(resp))
 }
 
+// withoutKey returns the request without the key of an organisation if the configuration in force requires keys. The node that
+// took the request removes it too, unless it had an earlier configuration, by which the field is like any other.
+func (e *Executor) withoutKey(r *wire.Request) *wire.Request {
+	isKey := func(h wire.Header) bool { return strings.EqualFold(h.Name, wire.HeaderAuthorization) }
+	content := e.deps.View().Content
+	if content == nil || !content.RequiresKeys() || !slices.ContainsFunc(r.Headers, isKey) {
+		return r
+	}
+	stripped := *r
+	stripped.Headers = slices.DeleteFunc(slices.Clone(r.Headers), isKey)
+	return &stripped
+}
+
 // checkSend returns the reason why a request must not be sent to a target that was chosen earlier. It is decided right before
 // the bytes are written: since its arrival, the request has waited for its body, a slot, its key or a connection. A target
 // that drains still gets requests that arrived before, until the drain window has passed.
