Take the number of nodes for known only once a source has stated it

Cause: a process that had not read the directory divided rates by the nodes of its view, itself alone, and took itself for the owner of each partition. "Read, and nobody there" and "not read" were one state. The same without an outage: the floor of the number of nodes ended by the clock, half of the stated nodes counted as a whole view, and publishing the node, which precedes the read, ended after 1 s.

Two sources state the number: the directory, and nodes that know it, in reports and in answers to probes; a node without a number states none. The number holds until the view has as many nodes or the directory, read again each minute, has fewer. While nodes are missing for up to 3 s, a node uses 0.3 of its part. Refusals of the time without owners are not reported as demand.

Why it works: a node that divides by a number has either read the directory, in which it is itself, or heard it from one that has. All others together use 0.001 of the rate each. The stand-in of the store can take single topics away.

--- a/server/coordination/quota/collect.go
+++ b/server/coordination/quota/collect.go
@@ -102,7 +102,7 @@
 // owners itself, so that counts never travel in a circle.
 func (e *Entry) chooseCollector(usable []Peer, now time.Duration) {
 	collector, _ := collectorOf(Peer{Node: e.node, FailureDomain: e.domain}, usable, e.members.Known)
-	if e.isCollecting(now) {
+	if e.members.Unstated || e.isCollecting(now) {
 		collector = Peer{}
 	}
 	if collector == e.collector.owner {
@@ -334,6 +334,8 @@
 // isolatedShareOf returns the part of rate / nodes that the node uses without the owner of a contact.
 func (e *Entry) isolatedShareOf(c *contact, now time.Duration) float64 {
 	switch {
+	case e.members.Partial:
+		return partialShare
 	case !collects(e.members.Known), c.isSlow():
 		return isolatedShare
 	case !c.everAnswered:
--- a/server/coordination/quota/entry.go
+++ b/server/coordination/quota/entry.go
@@ -100,6 +100,9 @@
 	version  uint64
 	// forwards are pushes of owners to pass on.
 	forwards []wire.QuotaNews
+	// asked is true once another node was asked for the number of nodes, the last time at askedAt.
+	asked   bool
+	askedAt time.Duration
 	// ticked is the time of the last call of Due, paused is true if it came late.
 	ticked time.Duration
 	paused bool
@@ -205,7 +208,8 @@
 		s.isolated++
 	case admitted:
 		s.admitted++
-	default:
+	case !e.members.Unstated:
+		// Refusals of the time without an owner would reach the first one late and all at once, as a demand that is none.
 		s.refused++
 	}
 	e.mark(id, s)
--- /dev/null
+++ b/server/coordination/quota/fleet.go
@@ -0,0 +1,80 @@
+package quota
+
+import "time"
+
+const (
+	// unstatedNodes is the number of nodes that a process assumes before a source has stated it: more than a deployment may have
+	// (docs/design.md, 1.3), so that any number of processes without a source together use less than the slack.
+	unstatedNodes = 1000
+	// partialTime bounds the time for which a process that sees less than half of the stated nodes counts as isolated, joinTime that
+	// for one that lacks any. Nodes that start together may see each other before they see the others.
+	partialTime = 30 * time.Second
+	joinTime    = 3 * time.Second
+	// partialShare is the part of rate / nodes that such a process uses. The others may not know it yet, and use the whole rate.
+	partialShare = 0.3
+	// statementGap is the time between two probes that ask other nodes for their number.
+	statementGap = 250 * time.Millisecond
+)
+
+// fleetSize is what a process knows of the number of nodes that share the quotas. A process that starts sees itself in its view,
+// and perhaps others that have just started too; with its own rate / 1 each of them would admit the whole rate. So the view counts
+// only once a source has stated a number: the directory, in which this node is itself, or a node that such a number was stated to.
+// That no source could be read says nothing about the number.
+type fleetSize struct {
+	stated bool
+	// floor is the stated number until the view has as many nodes, then 0. statedAt is the time of the first statement.
+	floor    int
+	statedAt time.Duration
+}
+
+// state takes over a number from a source.
+func (f *fleetSize) state(nodes int, now time.Duration) {
+	if !f.stated {
+		f.stated, f.statedAt = true, now
+	}
+	f.floor = nodes
+}
+
+// apply returns the number of nodes to assume for a view with live nodes among known ones, and whether the view is too small for
+// the choice of owners.
+func (f *fleetSize) apply(live, known int, now time.Duration) (nodes int, partial bool) {
+	if !f.stated {
+		return max(known, unstatedNodes), true
+	}
+	if known >= f.floor {
+		f.floor = 0
+	}
+	since := now - f.statedAt
+	partial = known < f.floor && since < joinTime || 2*live < f.floor && since < partialTime
+	return max(known, f.floor), partial
+}
+
+// members returns the members for a view.
+func (f *fleetSize) members(live []Peer, known, partitions int, now time.Duration) Members {
+	nodes, partial := f.apply(len(live), known, now)
+	if !f.stated {
+		// A node that counted for a partition now would take the requests of the others for none.
+		return Members{Known: nodes, Partial: true, Unstated: true, Live: live, Owners: make([]Peer, partitions)}
+	}
+	m := membersOf(live, nodes, partitions)
+	m.Partial = partial
+	return m
+}
+
+// askForNodes returns a probe to some other node if no source has stated the number of nodes.
+func (e *Entry) askForNodes(now time.Duration) []Outgoing {
+	if !e.members.Unstated || e.asked && now-e.askedAt < statementGap {
+		return nil
+	}
+	var others []Peer
+	for _, peer := range e.members.Live {
+		if peer.Node != e.node {
+			others = append(others, peer)
+		}
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	e.asked, e.askedAt = true, now
+	return []Outgoing{e.probe(others[int(e.draw(1<<61, uint64(now))*float64(len(others)))], now)}
+}
--- a/server/coordination/quota/owner.go
+++ b/server/coordination/quota/owner.go
@@ -143,10 +143,13 @@
 }
 
 // Report takes over what a node admitted and refused, and returns the news of the partition. It returns false if the node has a
-// configuration with another number of partitions.
+// configuration with another number of partitions, or if no source has stated the number of nodes.
 func (o *Owner) Report(r *wire.QuotaReport, now time.Duration) (wire.QuotaNews, bool) {
 	if r.Partition == wire.QuotaProbe {
-		return wire.QuotaNews{Partition: r.Partition, Owner: o.node, Process: o.process}, true
+		return wire.QuotaNews{Partition: r.Partition, Owner: o.node, Process: o.process, Nodes: o.members.stated()}, true
+	}
+	if o.members.Unstated {
+		return wire.QuotaNews{}, false
 	}
 	if r.Nodes < 1 || r.Partitions != len(o.partitions) || r.Partition < 0 || r.Partition >= len(o.partitions) {
 		return wire.QuotaNews{}, false
--- a/server/coordination/quota/quota.go
+++ b/server/coordination/quota/quota.go
@@ -74,36 +74,14 @@
 	Known int
 	// Partial means that the process has just started and that most nodes are missing in Live.
 	Partial bool
+	// Unstated means that no source has stated the number of nodes: Known is more than a fleet has, and there are no owners.
+	Unstated bool
 	// Owners are the owners of the partitions if all live nodes answer; the zero value if there is none.
 	Owners []Peer
 	// Live are the nodes to which announcements are pushed.
 	Live []Peer
 }
 
-// nodeFloor is the number of nodes that a process assumes until its view is complete. A process that starts sees only itself in
-// its view; with its own rate / 1 each process of a restarted fleet would admit the whole rate.
-type nodeFloor struct {
-	nodes int
-	// began is when the floor was set; it ends after floorTime.
-	began time.Duration
-}
-
-const (
-	// floorTime bounds the time for which nodes count that are in the directory but not in the view.
-	floorTime = 10 * time.Minute
-	// partialTime bounds the time for which a process that sees less than half of the floor counts as isolated.
-	partialTime = 30 * time.Second
-)
-
-// apply returns the number of nodes to assume for a view with known nodes, and whether the view is too small for the choice of
-// owners.
-func (f *nodeFloor) apply(live, known int, now time.Duration) (nodes int, partial bool) {
-	if known >= f.nodes || now-f.began >= floorTime {
-		*f = nodeFloor{}
-	}
-	return max(known, f.nodes), 2*live < f.nodes && now-f.began < partialTime
-}
-
 // Peer is a node and the address at which other nodes call it.
 type Peer struct {
 	Node, Address, FailureDomain string
@@ -138,6 +116,19 @@
 	return m
 }
 
+// stated returns the number of nodes to state to others; 0 if no source has stated it.
+func (m *Members) stated() int {
+	if m.Unstated {
+		return 0
+	}
+	return m.Known
+}
+
+// same reports whether members with as many partitions are equal. Owners follow from the rest.
+func (m *Members) same(other *Members) bool {
+	return m.Known == other.Known && m.Partial == other.Partial && m.Unstated == other.Unstated && slices.Equal(m.Live, other.Live)
+}
+
 // weightOf returns the rendezvous weight of a node for a partition: the finalizer of SplitMix64 over both. Hashing names for each
 // partition took 8 ms at 810 nodes and 64 partitions.
 func weightOf(node uint64, partition int) uint64 {
@@ -147,11 +138,6 @@
 	return z ^ z>>31
 }
 
-// same reports whether the nodes are those of the members.
-func (m Members) same(live []Peer, known int, partial bool) bool {
-	return m.Known == known && m.Partial == partial && slices.Equal(m.Live, live)
-}
-
 const (
 	// baseInterval is the longest time between two reports to an owner in a fleet without collectors.
 	baseInterval = time.Second
--- a/server/coordination/quota/quota_test.go
+++ b/server/coordination/quota/quota_test.go
@@ -354,7 +354,7 @@
 			for i := range r.nodes {
 				n.left[i] = i != n.index
 			}
-			n.floor = nodeFloor{nodes: len(r.nodes), began: r.now}
+			n.fleet = fleetSize{stated: true, floor: len(r.nodes), statedAt: r.now}
 			r.start(n)
 		})
 		r.after(begin+2*time.Second+time.Duration(r.random.Int64N(int64(2*time.Second))), func() {
--- a/server/coordination/quota/replay_test.go
+++ b/server/coordination/quota/replay_test.go
@@ -45,7 +45,7 @@
 	down       bool
 	// pausedUntil is the end of a pause of the process. Messages that arrive in it wait for its end.
 	pausedUntil time.Duration
-	floor       nodeFloor
+	fleet       fleetSize
 	// process tells the processes of a node apart.
 	process uint64
 }
@@ -78,7 +78,7 @@
 		})
 	}
 	for i := range nodes {
-		n := &replayNode{index: i, name: fmt.Sprintf("node-%03d", i), dead: map[int]bool{}, left: map[int]bool{}, rates: r.rates(), version: 1}
+		n := &replayNode{index: i, name: fmt.Sprintf("node-%03d", i), dead: map[int]bool{}, left: map[int]bool{}, rates: r.rates(), version: 1, fleet: fleetSize{stated: true}}
 		r.nodes = append(r.nodes, n)
 		n.peer = Peer{Node: n.name, Address: n.name, FailureDomain: fmt.Sprint("domain-", i%3)}
 		r.byName[n.name] = n
@@ -169,9 +169,7 @@
 			live = append(live, o.peer)
 		}
 	}
-	known, partial := n.floor.apply(len(live), known, r.now)
-	m := membersOf(live, known, n.rates.Partitions)
-	m.Partial = partial
+	m := n.fleet.members(live, known, n.rates.Partitions, r.now)
 	n.entry.SetMembers(m, n.rates, n.version, r.now)
 	n.owner.SetMembers(m, n.rates, n.version)
 }
@@ -205,6 +203,7 @@
 	process, done := n.process, false
 	to := r.byName[out.To.Node]
 	r.message(n, to, "Quota.Report", &out.Report, func() {
+		r.hearNodes(to, out.Report.Known)
 		serve := to.owner.Report
 		if out.Report.Partition == wire.QuotaCollected {
 			serve = to.entry.Collect
@@ -213,6 +212,7 @@
 			r.message(to, n, "", &reply, func() {
 				if !done && n.process == process {
 					done = true
+					r.hearNodes(n, reply.Nodes)
 					n.entry.Answered(out, &reply, r.now)
 				}
 			})
@@ -226,6 +226,14 @@
 	})
 }
 
+// hearNodes lets a node take over the number of nodes that another one knows.
+func (r *replay) hearNodes(n *replayNode, nodes int) {
+	if nodes > 0 && !n.fleet.stated {
+		n.fleet.state(nodes, r.now)
+		r.members(n)
+	}
+}
+
 func (r *replay) message(from, to *replayNode, method string, message any, arrive func()) {
 	if from != to && r.sent != nil {
 		r.sent(from.index, to.index, method, message)
--- a/server/coordination/quota/reports.go
+++ b/server/coordination/quota/reports.go
@@ -131,7 +131,7 @@
 		e.collecting = false
 		e.choose(now)
 	}
-	list := e.avoid(now)
+	list := append(e.avoid(now), e.askForNodes(now)...)
 	for _, c := range e.contacts() {
 		if !c.isDue(now) {
 			continue
@@ -182,7 +182,7 @@
 // report returns what was counted since the last report and resets the counts. An owner that has not heard the node leaves its
 // part of the rate out, so what the node used of it is stated as demand only. A collector judges that for its nodes.
 func (e *Entry) report(c *contact, now time.Duration) wire.QuotaReport {
-	r := wire.QuotaReport{Node: e.node, Partition: c.index, Partitions: len(e.partitions), Nodes: 1}
+	r := wire.QuotaReport{Node: e.node, Partition: c.index, Partitions: len(e.partitions), Nodes: 1, Known: e.members.stated()}
 	if c == &e.collector {
 		for p := range e.partitions {
 			r.PackedCounts = e.takeCounts(r.PackedCounts, &e.partitions[p])
--- a/server/coordination/quota/service.go
+++ b/server/coordination/quota/service.go
@@ -96,8 +96,7 @@
 	content   *config.Content
 	members   Members
 	membersAt time.Duration
-	floor     nodeFloor
-	floorSet  bool
+	fleet     fleetSize
 }
 
 // NewService returns a Service that does nothing before the configuration contains an organisation with a rate.
@@ -120,18 +119,44 @@
 	s.owner.SetLimit(limit)
 }
 
-// SetFloor states the number of nodes in the directory. Until the view has as many, quotas are divided by it.
-// Only the first call of a process has an effect.
-func (s *Service) SetFloor(nodes int) {
+// Sources of the number of nodes.
+const (
+	sourceDirectory = "directory"
+	sourceNode      = "node"
+)
+
+// StateNodes states the number of nodes in the directory, this one included. Until the view has as many, quotas are divided by the
+// number that was stated last. Before the first statement this node admits hardly any request of an organisation with a rate.
+func (s *Service) StateNodes(nodes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.floorSet {
-		return
+	s.stateNodes(nodes, sourceDirectory, s.now())
+}
+
+// AwaitsNodes reports whether the view has fewer nodes than were stated, so that the directory should be read again.
+func (s *Service) AwaitsNodes() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.floor > 0
+}
+
+// hearNodes takes over the number of nodes that another one knows, 0 if it knows none. What the directory stated is newer, as this
+// node is in it.
+func (s *Service) hearNodes(nodes int, now time.Duration) {
+	if nodes > 0 && !s.fleet.stated {
+		s.stateNodes(nodes, sourceNode, now)
+	}
+}
+
+func (s *Service) stateNodes(nodes int, source string, now time.Duration) {
+	if !s.fleet.stated {
+		s.deps.Log.WithFields(log.Fields{
+			"event": "quota_nodes_stated", "nodes": nodes, "source": source, "after_ms": now.Milliseconds(), "refused": s.counters.Refused.Load(),
+		}).Info("number of nodes that share the quotas is known")
 	}
-	s.floorSet = true
-	s.floor = nodeFloor{nodes: nodes, began: s.now()}
-	// The floor takes effect without a change of the view.
-	s.seen = nil
+	s.fleet.state(nodes, now)
+	// The number takes effect without a change of the view.
+	s.seen, s.membersAt = nil, now-membersInterval
 }
 
 // now returns the time as the state machines count it.
@@ -180,7 +205,7 @@
 
 // takeOver takes over the rates and members of a view.
 func (s *Service) takeOver(v *view.View, now time.Duration) {
-	if v == s.seen && s.floor.nodes == 0 {
+	if v == s.seen && s.fleet.floor == 0 {
 		return
 	}
 	changed := v.Content != s.content
@@ -207,12 +232,11 @@
 	}
 	s.membersAt = now
 	live, known := liveOf(v.Nodes)
-	known, partial := s.floor.apply(len(live), known, now)
-	if !changed && s.members.same(live, known, partial) {
+	m := s.fleet.members(live, known, s.rates.Partitions, now)
+	if !changed && s.members.same(&m) {
 		return
 	}
-	s.members = membersOf(live, known, s.rates.Partitions)
-	s.members.Partial = partial
+	s.members = m
 	s.entry.SetMembers(s.members, s.rates, v.Offset, now)
 	s.owner.SetMembers(s.members, s.rates, v.Offset)
 }
@@ -324,6 +348,7 @@
 		s.entry.Failed(out)
 		return
 	}
+	s.hearNodes(news.Nodes, s.now())
 	s.entry.Answered(out, news, s.now())
 }
 
@@ -367,6 +392,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.hearNodes(r.Known, now)
 	s.takeOver(s.deps.View(), now)
 	if !s.active {
 		return wire.QuotaNews{}, errNotOwner
@@ -424,8 +450,9 @@
 // Dump is the state of the quotas of a node.
 type Dump struct {
 	Counters CounterValues
-	// Nodes is the number of nodes that share the quotas.
-	Nodes int
+	// Nodes is the number of nodes that share the quotas. NodesUnstated is true if no source has stated it yet.
+	Nodes         int
+	NodesUnstated bool
 	// Collector is the node that this one reports through; empty if it reports to the owners itself. Avoided are the failure domains
 	// and nodes that are not used because they did not answer.
 	Collector string
@@ -442,7 +469,7 @@
 	d := Dump{Counters: s.Counters()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d.Nodes = s.members.Known
+	d.Nodes, d.NodesUnstated = s.members.Known, s.members.Unstated
 	for i := range s.entry.partitions {
 		d.Owners = append(d.Owners, s.entry.partitions[i].owner.Node)
 	}
--- a/server/daemon/discovery.go
+++ b/server/daemon/discovery.go
@@ -14,28 +14,30 @@
 const (
 	// discoveryInterval is the time between two attempts to publish this node or to find others while it knows none.
 	discoveryInterval = 500 * time.Millisecond
-	// directoryTimeout limits one call to the directory, patientTimeout each patientInterval-th attempt to list it, for a store
+	// directoryTimeout limits one call to the directory, patientTimeout the calls of each patientInterval-th attempt, for a store
 	// that takes longer to answer.
 	directoryTimeout = time.Second
 	patientTimeout   = 4 * time.Second
 	patientInterval  = 4
+	// relistInterval is the time between two reads of the directory while the view has fewer nodes than it.
+	relistInterval = time.Minute
 )
 
-// listTimeout returns the limit of an attempt to list the directory after a number of failed ones.
-func listTimeout(failures int) time.Duration {
+// directoryLimit returns the limit of a call to the directory after a number of failed attempts.
+func directoryLimit(failures int) time.Duration {
 	if failures%patientInterval == patientInterval-1 {
 		return patientTimeout
 	}
 	return directoryTimeout
 }
 
-// discover publishes this node in the directory and, while it knows no other node, lists the directory. A node publishes
-// itself first, so that of two nodes that start together at least one finds the other.
+// discover publishes this node in the directory and lists the directory: once, while it knows no other node, and now and then while
+// it knows fewer than the directory has. A node publishes itself first, so that of two nodes that start together at least one finds
+// the other.
 func (h *Hosted) discover(ctx context.Context) {
 	ticker := time.NewTicker(discoveryInterval)
 	defer ticker.Stop()
-	var published time.Time
-	listed := false
+	var published, listed time.Time
 	failing := false
 	failures := 0
 	for {
@@ -44,13 +46,16 @@
 			published = time.Time{}
 		}
 		if time.Since(published) > seeds.RenewInterval {
-			if err = h.publishNode(ctx); err == nil {
+			if err = h.publishNode(ctx, directoryLimit(failures)); err == nil {
 				published = time.Now()
 			}
 		}
-		if err == nil && (!listed || h.control.KnowsNoPeer()) {
-			err = h.findNodes(ctx, listTimeout(failures))
-			listed = err == nil
+		isMissing := h.quota.AwaitsNodes() && time.Since(listed) > relistInterval
+		if err == nil && (listed.IsZero() || h.control.KnowsNoPeer() || isMissing) {
+			listed = time.Now()
+			if err = h.findNodes(ctx, directoryLimit(failures)); err != nil {
+				listed = time.Time{}
+			}
 		}
 		failures++
 		if err == nil {
@@ -70,8 +75,8 @@
 	}
 }
 
-func (h *Hosted) publishNode(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+func (h *Hosted) publishNode(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return h.platform.Directory().Publish(ctx, seeds.Record{
 		Node:          h.settings.Node.Name,
@@ -91,7 +96,8 @@
 		return err
 	}
 	current, expired := seeds.SplitExpired(records, h.settings.Node.Name, time.Now())
-	h.quota.SetFloor(len(current) + 1)
+	// A record that has expired may be that of a node which could not renew it.
+	h.quota.StateNodes(len(current) + len(expired) + 1)
 	h.syncer.SetSeeds(h.contacts(current))
 	if readsAmong(h.selfEntry(), entriesOf(current), h.shape()) {
 		h.sourceReader.followRoles()
--- a/server/daemon/restore_test.go
+++ b/server/daemon/restore_test.go
@@ -47,10 +47,10 @@
 func TestDirectoryTimeouts(t *testing.T) {
 	patient := 0
 	for failures := range 8 {
-		if listTimeout(failures) == patientTimeout {
+		if directoryLimit(failures) == patientTimeout {
 			patient++
 		}
 	}
 	assert.Equal(t, patient, 2)
-	assert.Equal(t, listTimeout(0), directoryTimeout)
+	assert.Equal(t, directoryLimit(0), directoryTimeout)
 }
--- a/server/protocol/wire/quota.go
+++ b/server/protocol/wire/quota.go
@@ -38,6 +38,8 @@
 	Nodes int
 	// Partitions is the number of partitions, which follows from the configuration.
 	Partitions int
+	// Known is the number of nodes that share the quotas, as the sender knows it; 0 if no source has stated it.
+	Known int
 	// RoundTripMS is how long the last report to this owner took, in milliseconds.
 	RoundTripMS  int
 	PackedCounts QuotaCounts
@@ -59,6 +61,8 @@
 	// IntervalMS is the longest time between two reports, in milliseconds.
 	IntervalMS    int
 	PackedLimited QuotaShares
+	// Nodes is the number of nodes that share the quotas, in answers to probes; 0 if no source has stated it to the sender.
+	Nodes int
 	// UnlistedRate is the rate, in requests per second, up to which organisations are not listed unless the report has counts of
 	// them.
 	UnlistedRate int
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -33,6 +33,8 @@
 	Mode Mode
 	// Hosts limits the mode to callers from these IP addresses; empty for all.
 	Hosts map[string]bool
+	// Topics limits the mode to calls for these topics; empty for all.
+	Topics map[string]bool
 	// Delay is added to every answer.
 	Delay time.Duration
 	// LoseAnswers is the share of appends that are done and not answered.
@@ -137,18 +139,20 @@
 	s.frozen = map[string]newestAnswer{topic + "/0": answer}
 }
 
-func (s *Store) current(host string) Faults {
+func (s *Store) current(host, topic string) Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.faults
-	if len(f.Hosts) > 0 && !f.Hosts[host] {
+	if len(f.Hosts) > 0 && !f.Hosts[host] || len(f.Topics) > 0 && !f.Topics[topic] {
 		f.Mode = Up
 	}
 	return f
 }
 
 // pageOf returns a page of at most the given number of bytes.
-func (s *Store) pageOf(bytes int) pageSize { return pageSize{bytes: bytes, large: s.current("").Large} }
+func (s *Store) pageOf(bytes int) pageSize {
+	return pageSize{bytes: bytes, large: s.current("", "").Large}
+}
 
 func (s *Store) loses(share float64) bool {
 	s.mu.Lock()
@@ -160,7 +164,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.Calls.Add(1)
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
-		f := s.current(host)
+		f := s.current(host, r.URL.Query().Get("topic"))
 		time.Sleep(f.Delay)
 		s.setEra(w, s.Topics.currentEra())
 		switch f.Mode {
@@ -186,7 +190,7 @@
 const headerEra = "Store-Era"
 
 func (s *Store) setEra(w http.ResponseWriter, era uint64) {
-	if !s.current("").WithoutEra {
+	if !s.current("", "").WithoutEra {
 		w.Header().Set(headerEra, strconv.FormatUint(era, 10))
 	}
 }
@@ -194,7 +198,7 @@
 // made sets the era in which an answer was made, and holds it back if it is to be late.
 func (s *Store) made(w http.ResponseWriter, era uint64) {
 	s.setEra(w, era)
-	if hold := s.current("").Hold; hold != nil {
+	if hold := s.current("", "").Hold; hold != nil {
 		<-hold
 	}
 }
@@ -230,7 +234,7 @@
 	}
 	done, err := s.Topics.append(partitionName(r), records, condition)
 	s.made(w, done.era)
-	if s.loses(s.current("").LoseAnswers) {
+	if s.loses(s.current("", "").LoseAnswers) {
 		hangUp(w)
 		return
 	}
