Keep the stated number of nodes in the view, and state it in syncs

Cause: the quota service held the number of nodes for itself and asked for it by probes, so only deployments with quotas had it, and a node without a number had to ask first.

Change: control owns the number. Each sync states it in both directions, so it comes with the entries of the other nodes; the probes for it are gone. Reports of quotas state it as before, for a restarted owner that gets reports before syncs.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -187,6 +187,7 @@
 	l.viewPending = false
 	state := l.state.Load()
 	all := l.table.All()
+	l.fleet.update(all)
 	v := &view.View{
 		Version:   state.Version(),
 		Offset:    state.Offset(),
@@ -197,6 +198,9 @@
 		ByService: make(map[string][]*endpoint.Entry, len(state.Content().Services)),
 		Nodes:     make(map[string]*endpoint.Entry, len(all)),
 		Ready:     l.ready,
+
+		FleetStated: l.fleet.stated,
+		FleetFloor:  l.fleet.floor,
 	}
 	for _, s := range v.Content.Services {
 		v.ByService[s.Name] = nil
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -49,6 +49,7 @@
 	inForce          inForce
 	rejections       rejections
 	lag              lagTracker
+	fleet            fleetSize
 	clients          map[string]*client
 	watchedSince     map[string]time.Time
 	unreachableUntil map[string]time.Time
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -91,6 +91,7 @@
 	}
 	l.pullFromAhead(args)
 	l.heardOfEra(args.StoreEra)
+	l.heardOfFleet(args.FleetSize)
 	return c
 }
 
@@ -232,6 +233,7 @@
 	reply.HighestOffset, reply.HighestSequence = highest.Offset, highest.Sequence
 	reply.Uninstallable, reply.UninstallableSequence = uninstallable.Offset, uninstallable.Sequence
 	reply.StoreEra = l.storeEra()
+	reply.FleetSize = l.fleet.statement()
 	reply.Ready = l.ready
 	reply.ContactAgeMS = l.ContactAge().Milliseconds()
 	reply.HeldMS = now.Sub(received).Milliseconds()
@@ -251,6 +253,7 @@
 			Number:      state.Sequence(),
 			Version:     state.Version(),
 			StoreEra:    l.storeEra(),
+			FleetSize:   l.fleet.statement(),
 			Ready:       l.ready,
 			Reads:       l.roles.Load().ReadsLog,
 			Rejected:    l.rejections.offsets(time.Now()),
@@ -293,6 +296,7 @@
 	l.heardOf(config.Order{Sequence: reply.HighestSequence, Offset: reply.HighestOffset})
 	l.heardOfUninstallable(config.Order{Sequence: reply.UninstallableSequence, Offset: reply.Uninstallable})
 	l.heardOfEra(reply.StoreEra)
+	l.heardOfFleet(reply.FleetSize)
 	if len(reply.Snapshot) > 0 && l.installSnapshot(reply, from, now) {
 		l.reportSnapshotInstall(from, now)
 	}
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -120,6 +120,7 @@
 		Offset:      out.Offset,
 		Sequence:    out.Number,
 		StoreEra:    out.StoreEra,
+		FleetSize:   out.FleetSize,
 		Version:     out.Version,
 		Ready:       out.Ready,
 		Reads:       out.Reads,
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -50,7 +50,9 @@
 	Version config.Version
 	// StoreEra is the highest era of the store that the node knows of.
 	StoreEra uint64
-	Ready    bool
+	// FleetSize is the number of nodes, as the node knows it; 0 if no source has stated it.
+	FleetSize int
+	Ready     bool
 	// Reads is true if the node reads the configuration from its source itself.
 	Reads bool
 	// Rejected are the offsets of states that the node could not use a short time ago, by the name or address of the peer
--- a/server/coordination/quota/entry.go
+++ b/server/coordination/quota/entry.go
@@ -100,9 +100,6 @@
 	version  uint64
 	// forwards are pushes of owners to pass on.
 	forwards []wire.QuotaNews
-	// asked is true once another node was asked for the number of nodes, the last time at askedAt.
-	asked   bool
-	askedAt time.Duration
 	// ticked is the time of the last call of Due, paused is true if it came late.
 	ticked time.Duration
 	paused bool
--- a/server/coordination/quota/fleet.go
+++ b/server/coordination/quota/fleet.go
@@ -12,14 +12,10 @@
 	joinTime    = 3 * time.Second
 	// partialShare is the part of rate / nodes that such a process uses. The others may not know it yet, and use the whole rate.
 	partialShare = 0.3
-	// statementGap is the time between two probes that ask other nodes for their number.
-	statementGap = 250 * time.Millisecond
 )
 
-// fleetSize is what a process knows of the number of nodes that share the quotas. A process that starts sees itself in its view,
-// and perhaps others that have just started too; with its own rate / 1 each of them would admit the whole rate. So the view counts
-// only once a source has stated a number: the directory, in which this node is itself, or a node that such a number was stated to.
-// That no source could be read says nothing about the number.
+// fleetSize is what a process knows of the number of nodes that share the quotas. The nodes of the view count only once a source has
+// stated a number: with the rate / 1 each process that has just started would admit the whole rate.
 type fleetSize struct {
 	stated bool
 	// floor is the stated number until the view has as many nodes, then 0. statedAt is the time of the first statement.
@@ -27,12 +23,12 @@
 	statedAt time.Duration
 }
 
-// state takes over a number from a source.
-func (f *fleetSize) state(nodes int, now time.Duration) {
+// state takes over the stated number of nodes; 0 if the view has as many.
+func (f *fleetSize) state(floor int, now time.Duration) {
 	if !f.stated {
 		f.stated, f.statedAt = true, now
 	}
-	f.floor = nodes
+	f.floor = floor
 }
 
 // apply returns the number of nodes to assume for a view with live nodes among known ones, and whether the view is too small for
@@ -60,21 +56,3 @@
 	m.Partial = partial
 	return m
 }
-
-// askForNodes returns a probe to some other node if no source has stated the number of nodes.
-func (e *Entry) askForNodes(now time.Duration) []Outgoing {
-	if !e.members.Unstated || e.asked && now-e.askedAt < statementGap {
-		return nil
-	}
-	var others []Peer
-	for _, peer := range e.members.Live {
-		if peer.Node != e.node {
-			others = append(others, peer)
-		}
-	}
-	if len(others) == 0 {
-		return nil
-	}
-	e.asked, e.askedAt = true, now
-	return []Outgoing{e.probe(others[int(e.draw(1<<61, uint64(now))*float64(len(others)))], now)}
-}
--- a/server/coordination/quota/owner.go
+++ b/server/coordination/quota/owner.go
@@ -146,7 +146,7 @@
 // configuration with another number of partitions, or if no source has stated the number of nodes.
 func (o *Owner) Report(r *wire.QuotaReport, now time.Duration) (wire.QuotaNews, bool) {
 	if r.Partition == wire.QuotaProbe {
-		return wire.QuotaNews{Partition: r.Partition, Owner: o.node, Process: o.process, Nodes: o.members.stated()}, true
+		return wire.QuotaNews{Partition: r.Partition, Owner: o.node, Process: o.process}, true
 	}
 	if o.members.Unstated {
 		return wire.QuotaNews{}, false
--- a/server/coordination/quota/reports.go
+++ b/server/coordination/quota/reports.go
@@ -131,7 +131,7 @@
 		e.collecting = false
 		e.choose(now)
 	}
-	list := append(e.avoid(now), e.askForNodes(now)...)
+	list := e.avoid(now)
 	for _, c := range e.contacts() {
 		if !c.isDue(now) {
 			continue
--- a/server/coordination/quota/service.go
+++ b/server/coordination/quota/service.go
@@ -48,6 +48,8 @@
 type Dependencies struct {
 	// View returns the current view.
 	View func() *view.View
+	// HearFleetSize takes over the number of nodes that another node knows. The next view has it.
+	HearFleetSize func(nodes int)
 	// Call invokes a net/rpc method of another node.
 	Call func(ctx context.Context, address, method string, args, reply any) error
 	Log  log.Interface
@@ -119,44 +121,18 @@
 	s.owner.SetLimit(limit)
 }
 
-// Sources of the number of nodes.
-const (
-	sourceDirectory = "directory"
-	sourceNode      = "node"
-)
-
-// StateNodes states the number of nodes in the directory, this one included. Until the view has as many, quotas are divided by the
-// number that was stated last. Before the first statement this node admits hardly any request of an organisation with a rate.
-func (s *Service) StateNodes(nodes int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stateNodes(nodes, sourceDirectory, s.now())
-}
-
-// AwaitsNodes reports whether the view has fewer nodes than were stated, so that the directory should be read again.
-func (s *Service) AwaitsNodes() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fleet.floor > 0
-}
-
-// hearNodes takes over the number of nodes that another one knows, 0 if it knows none. What the directory stated is newer, as this
-// node is in it.
-func (s *Service) hearNodes(nodes int, now time.Duration) {
-	if nodes > 0 && !s.fleet.stated {
-		s.stateNodes(nodes, sourceNode, now)
+// takeOverFleet takes over the number of nodes that was stated.
+func (s *Service) takeOverFleet(v *view.View, now time.Duration) {
+	if !v.FleetStated {
+		return
 	}
-}
-
-func (s *Service) stateNodes(nodes int, source string, now time.Duration) {
 	if !s.fleet.stated {
 		s.deps.Log.WithFields(log.Fields{
-			"event": "quota_nodes_stated", "nodes": nodes, "source": source, "after_ms": now.Milliseconds(), "refused": s.counters.Refused.Load(),
+			"event": "quota_nodes_stated", "nodes": max(v.FleetFloor, len(v.Nodes)), "after_ms": now.Milliseconds(),
+			"refused": s.counters.Refused.Load(),
 		}).Info("number of nodes that share the quotas is known")
 	}
-	s.fleet.state(nodes, now)
-	// The number takes effect without a change of the view.
-	s.seen, s.membersAt = nil, now-membersInterval
+	s.fleet.state(v.FleetFloor, now)
 }
 
 // now returns the time as the state machines count it.
@@ -208,10 +184,11 @@
 	if v == s.seen && s.fleet.floor == 0 {
 		return
 	}
-	changed := v.Content != s.content
+	changed := v.Content != s.content || v.FleetStated && !s.fleet.stated
 	if !changed && now-s.membersAt < membersInterval {
 		return
 	}
+	s.takeOverFleet(v, now)
 	s.seen, s.content = v, v.Content
 	if changed {
 		s.rates = Rates{}
@@ -348,7 +325,6 @@
 		s.entry.Failed(out)
 		return
 	}
-	s.hearNodes(news.Nodes, s.now())
 	s.entry.Answered(out, news, s.now())
 }
 
@@ -389,10 +365,12 @@
 
 // serveReport answers a report as the owner of its partition.
 func (s *Service) serveReport(r *wire.QuotaReport) (wire.QuotaNews, error) {
+	if r.Known > 0 && !s.deps.View().FleetStated {
+		s.deps.HearFleetSize(r.Known)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.hearNodes(r.Known, now)
 	s.takeOver(s.deps.View(), now)
 	if !s.active {
 		return wire.QuotaNews{}, errNotOwner
--- a/server/daemon/discovery.go
+++ b/server/daemon/discovery.go
@@ -50,7 +50,7 @@
 				published = time.Now()
 			}
 		}
-		isMissing := h.quota.AwaitsNodes() && time.Since(listed) > relistInterval
+		isMissing := h.control.View().FleetFloor > 0 && time.Since(listed) > relistInterval
 		if err == nil && (listed.IsZero() || h.control.KnowsNoPeer() || isMissing) {
 			listed = time.Now()
 			if err = h.findNodes(ctx, directoryLimit(failures)); err != nil {
@@ -97,7 +97,7 @@
 	}
 	current, expired := seeds.SplitExpired(records, h.settings.Node.Name, time.Now())
 	// A record that has expired may be that of a node which could not renew it.
-	h.quota.StateNodes(len(current) + len(expired) + 1)
+	h.control.StateFleetSize(len(current) + len(expired) + 1)
 	h.syncer.SetSeeds(h.contacts(current))
 	if readsAmong(h.selfEntry(), entriesOf(current), h.shape()) {
 		h.sourceReader.followRoles()
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -308,7 +308,7 @@
 	})
 	var err error
 	h.quota, err = quota.NewService(quota.Settings{Node: s.Node.Name, Limit: quotaLimit(s), Started: h.started}, quota.Dependencies{
-		View: h.control.View, Call: h.trafficPool.Call, Log: log.Log,
+		View: h.control.View, HearFleetSize: h.control.HearFleetSize, Call: h.trafficPool.Call, Log: log.Log,
 	})
 	if err != nil {
 		return err
--- a/server/protocol/wire/quota.go
+++ b/server/protocol/wire/quota.go
@@ -61,8 +61,6 @@
 	// IntervalMS is the longest time between two reports, in milliseconds.
 	IntervalMS    int
 	PackedLimited QuotaShares
-	// Nodes is the number of nodes that share the quotas, in answers to probes; 0 if no source has stated it to the sender.
-	Nodes int
 	// UnlistedRate is the rate, in requests per second, up to which organisations are not listed unless the report has counts of
 	// them.
 	UnlistedRate int
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -32,7 +32,9 @@
 	Sequence uint64
 	// StoreEra is the highest era of the store that the child knows of.
 	StoreEra uint64
-	Ready    bool
+	// FleetSize is the number of nodes, as the child knows it; 0 if no source has stated it, and from a node of an older build.
+	FleetSize int
+	Ready     bool
 	// ParentInstance and TableSequence say what the child has seen of the parent's endpoint table.
 	ParentInstance int64
 	TableSequence  uint64
@@ -73,6 +75,8 @@
 	UninstallableSequence uint64
 	// StoreEra is the highest era of the store that the parent knows of.
 	StoreEra uint64
+	// FleetSize is the number of nodes, as the parent knows it; 0 if no source has stated it, and from a node of an older build.
+	FleetSize int
 	// ContactAgeMS is how long ago the parent had contact with a node that would know of its death verdict, in
 	// milliseconds.
 	ContactAgeMS int64
