Use nothing of the slack for retries before the number of nodes is stated

Cause: the retry budget divides its slack by the live nodes of the view, at least 1. A process that has just started sees itself alone, so each of several that start together had the slack of the whole fleet (BUDGET).

Change: before the number of nodes is stated, a node uses only the ratio of its own requests; after that, the larger one of the stated number and the live nodes.

Why it works: the ratio is counted by each node for its own requests, so it needs no number of nodes.

Evidence: TestFleetBudgetOfNodesThatDoNotKnowTheirNumber fails with an unknown number taken for 1, as before: 504 retries of 380 allowed (8 nodes and 8 more), 495 of 280 (11 that restart). It passes now.

--- a/server/coordination/dispatch/dispatch_test.go
+++ b/server/coordination/dispatch/dispatch_test.go
@@ -113,7 +113,7 @@
 
 func testView() *view.View {
 	v := &view.View{
-		Version: 3, Ready: true,
+		Version: 3, Ready: true, FleetStated: true,
 		ByService: make(map[string][]*endpoint.Entry), Nodes: make(map[string]*endpoint.Entry),
 	}
 	for i := range nodes {
@@ -166,6 +166,32 @@
 	}
 }
 
+// Guards against a retry budget that is divided by the nodes which a new process sees: itself, or others that have just started.
+func TestNodesThatShareTheRetryBudget(t *testing.T) {
+	for _, c := range []struct {
+		stated            bool
+		floor, live, dead int
+		want              int
+	}{
+		{false, 0, 1, 0, 0},
+		{false, 0, 3, 0, 0},
+		{true, 10, 1, 0, 10},
+		{true, 10, 7, 1, 10},
+		{true, 0, 1, 0, 1},
+		{true, 0, 7, 4, 7},
+	} {
+		v := &view.View{FleetStated: c.stated, FleetFloor: c.floor, Nodes: make(map[string]*endpoint.Entry)}
+		for i := range c.live + c.dead {
+			e := &endpoint.Entry{Node: fmt.Sprint("n", i), Key: endpoint.Key{State: endpoint.Alive}}
+			if i >= c.live {
+				e.State = endpoint.Dead
+			}
+			v.Nodes[e.Node] = e
+		}
+		assert.Check(t, sharingNodes(v) == c.want, "%+v: %d", c, sharingNodes(v))
+	}
+}
+
 // Guards against a retry of a request that may have run and is not idempotent, against a missing retry of an
 // idempotent one, and against a refusal of a request that may have run.
 func TestAttempts(t *testing.T) {
--- a/server/coordination/dispatch/handler.go
+++ b/server/coordination/dispatch/handler.go
@@ -72,7 +72,7 @@
 		tracker:  routing.NewTracker(s.Routing),
 		policy:   routing.PolicyOf(s.Balance),
 		splitter: routing.NewSplitter(d.Random),
-		budget:   retry.NewFleetBudget(s.RetryLimit, 1),
+		budget:   retry.NewFleetBudget(s.RetryLimit, 0),
 		inFlight: make(map[uint64]context.CancelCauseFunc),
 	}
 	h.domains.Backoff = s.Balance == routing.BalanceEvenLoad
@@ -245,17 +245,25 @@
 	last := h.prunedView.Load()
 	if last != v && h.prunedView.CompareAndSwap(last, v) {
 		h.tracker.Retain(v.Nodes)
-		live := 0
-		for _, e := range v.Nodes {
-			if e.Live() {
-				live++
-			}
-		}
-		h.budget.SetNodes(live)
+		h.budget.SetNodes(sharingNodes(v))
 	}
 	return v
 }
 
+// sharingNodes returns the number of nodes that share the retry budget; 0 if no source has stated it.
+func sharingNodes(v *view.View) int {
+	if !v.FleetStated {
+		return 0
+	}
+	live := 0
+	for _, e := range v.Nodes {
+		if e.Live() {
+			live++
+		}
+	}
+	return max(live, v.FleetFloor)
+}
+
 // TargetFailed records that the local target responded with an error.
 func (h *Handler) TargetFailed() { h.nested.recordTargetError(time.Now()) }
 
--- a/server/coordination/retry/fleet.go
+++ b/server/coordination/retry/fleet.go
@@ -66,16 +66,17 @@
 	return w
 }
 
-// NewFleetBudget returns the budget of one node out of the given number of nodes.
+// NewFleetBudget returns the budget of one node out of the given number of nodes, see SetNodes.
 func NewFleetBudget(limit FleetLimit, nodes int) *FleetBudget {
-	return &FleetBudget{limit: limit, nodes: max(nodes, 1), services: make(map[string]*retryWindow)}
+	return &FleetBudget{limit: limit, nodes: nodes, services: make(map[string]*retryWindow)}
 }
 
-// SetNodes sets the number of nodes that share the limit.
+// SetNodes sets the number of nodes that share the limit; 0 if it is not known. Then the node uses nothing of the slack, which
+// would be divided by it, only the ratio of its own requests.
 func (b *FleetBudget) SetNodes(nodes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes = max(nodes, 1)
+	b.nodes = nodes
 }
 
 // SetLimit replaces the limit. If the window changes, all counts are dropped.
@@ -104,7 +105,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, nowMS)
-	allowed := ratioShare*b.limit.Ratio*float64(w.countedRequests()) + slackShare*b.limit.Slack/float64(b.nodes)
+	allowed := ratioShare * b.limit.Ratio * float64(w.countedRequests())
+	if b.nodes > 0 {
+		allowed += slackShare * b.limit.Slack / float64(b.nodes)
+	}
 	if ran {
 		allowed *= executedShare
 	}
--- a/server/coordination/retry/fleet_test.go
+++ b/server/coordination/retry/fleet_test.go
@@ -52,6 +52,33 @@
 	assert.Assert(t, sum(retries[:]) > sum(requests[:])/20, "%d retries of %d requests: the limit is not used", sum(retries[:]), sum(requests[:]))
 }
 
+// Guards against nodes that take the slack of the whole fleet each, because they do not know the number of nodes yet: all of some
+// nodes that are added, or that restart at the same time.
+func TestFleetBudgetOfNodesThatDoNotKnowTheirNumber(t *testing.T) {
+	for _, c := range []struct{ known, unknown int }{{8, 2}, {8, 8}, {0, 11}, {1, 3}} {
+		var budgets []*FleetBudget
+		for range c.known {
+			budgets = append(budgets, NewFleetBudget(fleetLimit, c.known))
+		}
+		for range c.unknown {
+			budgets = append(budgets, NewFleetBudget(fleetLimit, 0))
+		}
+		requests, retries := 0, 0
+		for _, b := range budgets {
+			for range 100 {
+				b.RecordRequest("s", 0, 1_800_000_000_000)
+				requests++
+			}
+			for b.Take("s", 0, false, 1_800_000_000_000) {
+				retries++
+			}
+		}
+		allowed := fleetLimit.Ratio*float64(requests) + fleetLimit.Slack
+		assert.Check(t, float64(retries) <= allowed, "%+v: %d retries, at most %.0f", c, retries, allowed)
+		assert.Check(t, retries >= c.unknown*10, "%+v: %d retries: the ratio is not used", c, retries)
+	}
+}
+
 // Guards against requests that fail although the limit allows another attempt when all targets of a service shed half
 // of their requests, and against nodes that exceed the limit because a restart drops their retry counts.
 func TestFleetBudgetOverRestarts(t *testing.T) {
