Let the soak draw organisations and outages of the directory

Change: a run may have lists of organisations that are absent, null, empty, without keys or full, with limits in several forms; requests with a known and an unknown key are judged by the configurations that may be in force, runs by their organisation and by keys that reached targets, and the runs of an organisation with a steady quota by the bound of each window. Beside that, the directory alone is away for up to 4.5 s while killed nodes, or nodes that had left, start. Both draw from sequences of their own, so earlier seeds stay what they were, but for the requests with keys.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -28,6 +28,8 @@
 	entries map[string]entry
 	// disturbed holds, by node, when its process or a link of it was disturbed.
 	disturbed map[int][]span
+	// mostOfQuota is the largest number of runs of the organisation in a window.
+	mostOfQuota int
 }
 
 // faultsMax limits the faults that are kept in words.
@@ -44,7 +46,7 @@
 func (c *check) next(path string) platform.Call { return c.nextWith(path, "") }
 
 // nextWith returns a call with a new id. Without a body, it gets one of its own.
-func (c *check) nextWith(path, body string) platform.Call {
+func (c *check) nextWith(path, body string, headers ...string) platform.Call {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ids++
@@ -52,7 +54,7 @@
 	if body == "" {
 		body = "body of " + id
 	}
-	call := platform.Call{ID: id, Method: "POST", Host: "shop.example", Path: path, Body: body, Patience: patience}
+	call := platform.Call{ID: id, Method: "POST", Host: "shop.example", Path: path, Body: body, Patience: patience, Headers: headers}
 	c.calls[id] = call
 	return call
 }
@@ -139,7 +141,7 @@
 			other++
 		}
 	}
-	return fmt.Sprintf("sent=%d answered=%d refused=%d unknown=%d faults=%d", c.ids, whole, refused, other, len(c.faults))
+	return fmt.Sprintf("sent=%d answered=%d refused=%d unknown=%d of_quota=%d faults=%d", c.ids, whole, refused, other, c.mostOfQuota, len(c.faults))
 }
 
 // sortRuns sorts runs by their beginning.
--- a/standin/soak/growth.go
+++ b/standin/soak/growth.go
@@ -37,6 +37,7 @@
 type publication struct {
 	version            int
 	gained             routeRange
+	list               listForm
 	sent, acknowledged time.Time
 }
 
@@ -46,10 +47,11 @@
 	list []publication
 }
 
-func (p *publications) begin(version int, gained routeRange) {
+func (p *publications) begin(c publication) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list = append(p.list, publication{version: version, gained: gained, sent: time.Now()})
+	c.sent = time.Now()
+	p.list = append(p.list, c)
 }
 
 // acknowledge notes that the store has answered the last publication.
@@ -118,11 +120,11 @@
 	}
 }
 
-// rules returns the gained routes as the operator writes them, each after a comma.
-func (g routeRange) rules() string {
+// rules returns the gained routes as the operator writes them, each after a comma. members are further members of each.
+func (g routeRange) rules(members string) string {
 	var b strings.Builder
 	for i := g.first; i < g.end; i++ {
-		fmt.Fprintf(&b, `,{"name":"gained%d","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"%s"},"action":{"service":%q,"timeout-s":1.5,"max-attempts":2}}`, i, gainedPrefix(i), service)
+		fmt.Fprintf(&b, `,{"name":"gained%d",%s"kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"%s"},"action":{"service":%q,"timeout-s":1.5,"max-attempts":2}}`, i, members, gainedPrefix(i), service)
 	}
 	return b.String()
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -49,10 +49,11 @@
 	settings Settings
 	store    *platform.Store
 	// addresses are those of the nodes.
-	addresses *network
-	random    *rand.Rand
-	nodes     []*node
-	check     *check
+	addresses     *network
+	random        *rand.Rand
+	nodes         []*node
+	check         *check
+	organisations *organisations
 	// domains is the number of failure domains, followers the number of nodes in each that read the store.
 	domains, followers int
 
@@ -104,7 +105,7 @@
 		return nil, err
 	}
 	defer addresses.release()
-	r := &run{settings: s, store: store, addresses: addresses, random: rand.New(rand.NewPCG(s.Seed, 17)), check: newCheck()}
+	r := &run{settings: s, store: store, addresses: addresses, random: rand.New(rand.NewPCG(s.Seed, 17)), check: newCheck(), organisations: newOrganisations(s.Seed)}
 	r.drawShape()
 	r.publish()
 	defer r.end()
@@ -126,12 +127,14 @@
 		}
 		wg.Go(func() { r.readPopular(load, n) })
 		wg.Go(func() { r.probeRoutes(load, n) })
+		wg.Go(func() { r.sendKeys(load, n) })
 	}
 	crashing, stopCrashing := context.WithCancel(ctx)
 	wg.Go(func() { r.sendCrashing(crashing) })
 	var disturbing sync.WaitGroup
 	disturbing.Go(func() { r.playIncidents(ctx) })
 	disturbing.Go(func() { r.playGrowth(ctx) })
+	disturbing.Go(func() { r.playDirectoryOutages(ctx) })
 	r.disturb(ctx)
 	disturbing.Wait()
 	stopCrashing()
@@ -147,6 +150,7 @@
 	runs := r.allRuns()
 	r.check.end(runs)
 	r.check.endCrashing(runs)
+	r.check.endOrganisations(r.organisations, runs)
 	r.check.endConditions(r.allArrivals())
 	fmt.Fprintf(s.Out, "seed=%d %s\n", s.Seed, r.check.summary())
 	return r.check.faults, nil
@@ -171,13 +175,15 @@
 	defer r.publishing.Unlock()
 	r.version++
 	change(&r.gained)
-	r.published.begin(r.version, r.gained)
+	list, limits := r.organisations.draw()
+	r.published.begin(publication{version: r.version, gained: r.gained, list: list})
 	defer r.published.acknowledge()
-	r.store.PublishConfig(fmt.Appendf(nil, `{"version":%d,"limits":{"idle-timeout-s":15},"listeners":[{"host":"shop.example","rules":[
-		{"name":"read","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/read/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":3}},
-		{"name":"write","kind":"non_idempotent","target-latency-s":0.5,"priority":0,"match":{"path-prefix":"/write/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}},
-		{"name":"idle","kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/idle%[1]d/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}}%[4]s]}],
-		"clusters":[{"name":%[2]q,"health-path":%[3]q,"max-connections":100}]}`, r.version, service, platform.HealthPath, r.gained.rules()))
+	r.store.PublishConfig(fmt.Appendf(nil, `{"version":%[1]d,%[5]s%[6]s"listeners":[{"host":"shop.example","rules":[
+		{"name":"read",%[7]s"kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/read/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":3}},
+		{"name":"write",%[7]s"kind":"non_idempotent","target-latency-s":0.5,"priority":0,"match":{"path-prefix":"/write/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}},
+		{"name":"idle",%[7]s"kind":"idempotent","target-latency-s":0.5,"priority":1,"match":{"path-prefix":"/idle%[1]d/"},"action":{"service":%[2]q,"timeout-s":1.5,"max-attempts":2}}%[4]s%[8]s]}],
+		"clusters":[{"name":%[2]q,"health-path":%[3]q,"max-connections":100}]}`, r.version, service, platform.HealthPath, r.gained.rules(r.organisations.public()),
+		limits, list.member(), r.organisations.public(), r.organisations.rule()))
 }
 
 func (r *run) startNode(id int) (*node, error) {
@@ -302,8 +308,12 @@
 }
 
 // restart ends the process with a signal and starts it again.
-func (n *node) restart(s syscall.Signal) {
+func (n *node) restart(s syscall.Signal) { n.restartAfter(s, 0) }
+
+// restartAfter ends the process with a signal and starts it again after a time.
+func (n *node) restartAfter(s syscall.Signal, absent time.Duration) {
 	n.finish(s)
+	time.Sleep(absent)
 	if err := n.start(); err != nil {
 		n.run.check.fault("START", err.Error())
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -18,9 +18,11 @@
 // seeds are played in CI: seed 1, and every seed that ever failed, with the cause.
 var seeds = []uint64{
 	1,
-	14,    // RECOVER: SIGHUP came before a started process had set up its signals, and the soak did not start it again.
-	3003,  // EXIT: the soak took an end that it had caused for one of its own, and started a second process for the node.
-	38001, // BUDGET: the end of a target that was noticed late was no evidence against the request that had run alone there.
+	14,     // RECOVER: SIGHUP came before a started process had set up its signals, and the soak did not start it again.
+	3003,   // EXIT: the soak took an end that it had caused for one of its own, and started a second process for the node.
+	38001,  // BUDGET: the end of a target that was noticed late was no evidence against the request that had run alone there.
+	630004, // ROUTE, UNASKED: an empty list of organisations was taken for none, so requests needed no key.
+	630008, // QUOTA: nodes that had not read the directory each admitted the whole rate of an organisation.
 }
 
 // Guards against promises that the assembled processes break under faults that overlap.
@@ -85,7 +87,7 @@
 	store, err := platform.StartStore("127.0.0.1:0", 1)
 	assert.NilError(t, err)
 	defer store.Close()
-	r := &run{store: store}
+	r := &run{organisations: newOrganisations(1), store: store}
 	const publications = 32
 	var all sync.WaitGroup
 	for range publications {
@@ -148,7 +150,7 @@
 func TestRestartAfterAnEndByItself(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "program")
 	assert.NilError(t, os.WriteFile(program, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700))
-	n := &node{run: &run{settings: Settings{Program: program, Out: t.Output()}, check: newCheck()}, settingsFile: filepath.Join(t.TempDir(), "n.ini")}
+	n := &node{run: &run{organisations: newOrganisations(1), settings: Settings{Program: program, Out: t.Output()}, check: newCheck()}, settingsFile: filepath.Join(t.TempDir(), "n.ini")}
 	assert.NilError(t, n.start())
 	first, ended := n.cmd, n.ended
 	n.signal(syscall.SIGHUP)
@@ -196,3 +198,60 @@
 	n.targetCrashed(second)
 	assert.Assert(t, n.current() == second)
 }
+
+// Guards against a check of keys that excuses requests which no configuration allows, or blames nodes for one that may be in force.
+func TestKeyIsJudgedByConfigurationsThatMayBeInForce(t *testing.T) {
+	list := func(forms ...listForm) (all []publication) {
+		for i, f := range forms {
+			all = append(all, publication{version: len(forms) - i, list: f})
+		}
+		return all
+	}
+	for _, c := range []struct {
+		key    string
+		status int
+		list   []publication
+		fault  string
+	}{
+		{organisationKey, 200, list(listFull), ""},
+		{organisationKey, 200, list(listEmpty, listFull), ""},
+		{organisationKey, 200, list(listEmpty), "ROUTE"},
+		{organisationKey, 200, list(listNull), "ROUTE"},
+		{organisationKey, 200, list(listKeyless), "ROUTE"},
+		{organisationKey, 200, list(listAbsent), ""},
+		{organisationKey, 401, list(listFull), "DENIED"},
+		{organisationKey, 401, list(listFull, listEmpty), ""},
+		{organisationKey, 401, list(listAbsent), "DENIED"},
+		{organisationKey, 429, list(listFull), ""},
+		{organisationKey, 429, list(listAbsent), "DENIED"},
+		{organisationKey, 404, list(listFull), "DENIED"},
+		{organisationKey, 503, list(listFull), ""},
+		{unknownKey, 200, list(listFull), "ROUTE"},
+		{unknownKey, 200, list(listEmpty, listAbsent), ""},
+		{unknownKey, 401, list(listFull), ""},
+	} {
+		fault, detail := judgeKey(c.key, c.status, c.list)
+		assert.Check(t, fault == c.fault, "%+v: %s %s", c, fault, detail)
+	}
+}
+
+// Guards against a check of the quota that misses a window over it.
+func TestQuotaIsCheckedInEveryWindow(t *testing.T) {
+	for _, c := range []struct {
+		runs  int
+		over  time.Duration
+		fault bool
+	}{
+		{quotaBound, quotaWindow, false},
+		{quotaBound + 1, quotaWindow, true},
+		{2 * quotaBound, 3 * quotaWindow, false},
+	} {
+		check := newCheck()
+		var runs []platform.Run
+		for i := range c.runs {
+			runs = append(runs, platform.Run{At: time.Unix(1_800_000_000, 0).Add(c.over * time.Duration(i) / time.Duration(c.runs))})
+		}
+		check.endQuota(runs)
+		assert.Equal(t, len(check.faults) > 0, c.fault, "%+v", c)
+	}
+}
