Take a view for whole that lacks up to a quarter of the stated nodes

A view that lacked any stated node counted as partial for 3 s, so all nodes were isolated for 3 s and used 0.3 of their parts, after each restart of all.

Change: for the first 3 s more than a quarter has to be missing.

Why it works: the rule is there for nodes that are added together and see each other first; they are at most a fifth of a fleet that grows by a quarter, and two of three if one node becomes three.

--- a/server/coordination/quota/fleet.go
+++ b/server/coordination/quota/fleet.go
@@ -7,7 +7,7 @@
 	// (docs/design.md, 1.3), so that any number of processes without a source together use less than the slack.
 	unstatedNodes = 1000
 	// partialTime bounds the time for which a process that sees less than half of the stated nodes counts as isolated, joinTime that
-	// for one that lacks any. Nodes that start together may see each other before they see the others.
+	// for one that lacks more than a quarter. Nodes that start together may see each other before they see the others.
 	partialTime = 30 * time.Second
 	joinTime    = 3 * time.Second
 	// partialShare is the part of rate / nodes that such a process uses. The others may not know it yet, and use the whole rate.
@@ -41,7 +41,7 @@
 		f.floor = 0
 	}
 	since := now - f.statedAt
-	partial = known < f.floor && since < joinTime || 2*live < f.floor && since < partialTime
+	partial = 4*known < 3*f.floor && since < joinTime || 2*live < f.floor && since < partialTime
 	return max(known, f.floor), partial
 }
 
