Take a view for partial for a second only if it lacks a quarter of the nodes

Change: the rule holds for 1 s from the first statement. Nodes that start together meet the others within some tenths of a second; the rule for less than half stays 30 s.

--- a/server/coordination/quota/fleet.go
+++ b/server/coordination/quota/fleet.go
@@ -9,7 +9,7 @@
 	// partialTime bounds the time for which a process that sees less than half of the stated nodes counts as isolated, joinTime that
 	// for one that lacks more than a quarter. Nodes that start together may see each other before they see the others.
 	partialTime = 30 * time.Second
-	joinTime    = 3 * time.Second
+	joinTime    = time.Second
 	// partialShare is the part of rate / nodes that such a process uses. The others may not know it yet, and use the whole rate.
 	partialShare = 0.3
 )
