--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 .PHONY: build generate format lint test check demo bench
 
 build:
-	go build -o $(BIN)/ ./server/cmd/... ./ctl/cmd/... ./standin/cmd/...
+	go build -ldflags="-X wagtailford.example/server/daemon/buildinfo.commit=$$(git describe --always --dirty --abbrev=12 2>/dev/null)" -o $(BIN)/ ./server/cmd/... ./ctl/cmd/... ./standin/cmd/...
 
 # The generated code is committed; buf and its plugins are only needed after a change of the schema.
 generate:
--- a/server/daemon/command/command.go
+++ b/server/daemon/command/command.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"os"
 	"runtime"
-	"runtime/debug"
 
 	"github.com/apex/log"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/spf13/cobra"
 
 	"wagtailford.example/server/daemon"
+	"wagtailford.example/server/daemon/buildinfo"
 	"wagtailford.example/server/daemon/logging"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/state/config"
@@ -112,14 +112,10 @@
 func versionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
-		Short: "Print the version of the program and of its rules",
+		Short: "Print the commit that the program was built from, and the version of its rules",
 		Args:  cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) {
-			version := "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				version = info.Main.Version
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "wagtaild %s, rule version %d, %s\n", version, config.RuleVersion, runtime.Version())
+			fmt.Fprintf(cmd.OutOrStdout(), "wagtaild %s, rule version %d, %s\n", buildinfo.Commit(), config.RuleVersion, runtime.Version())
 		},
 	}
 }
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"wagtailford.example/server/coordination/follow"
 	"wagtailford.example/server/coordination/ingress"
 	"wagtailford.example/server/coordination/ownership"
+	"wagtailford.example/server/daemon/buildinfo"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/platformlog"
 	"wagtailford.example/server/state/endpoint"
@@ -84,6 +85,7 @@
 	failed := d.serve(background)
 	log.WithFields(log.Fields{
 		"node": d.settings.Node.Name, "peer": d.settings.Listen.Peer, "ingress": d.settings.Listen.Ingress,
+		"commit": buildinfo.Commit(),
 	}).Info("node started")
 	var err error
 	select {
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -26,6 +26,7 @@
 	"wagtailford.example/server/coordination/routing"
 	"wagtailford.example/server/coordination/seeds"
 	"wagtailford.example/server/coordination/transfer"
+	"wagtailford.example/server/daemon/buildinfo"
 	"wagtailford.example/server/daemon/settings"
 	"wagtailford.example/server/protocol/wire"
 	"wagtailford.example/server/state/config"
@@ -373,7 +374,7 @@
 	failed := h.serve(background)
 	log.WithFields(log.Fields{
 		"event": "start", "node": h.settings.Node.Name, "peer": h.settings.Listen.Peer, "ingress": h.settings.Listen.Ingress,
-		"store": h.settings.Platform.Store, "balance": h.settings.Routing.Balance,
+		"store": h.settings.Platform.Store, "balance": h.settings.Routing.Balance, "commit": buildinfo.Commit(),
 	}).Info("node started")
 	var err error
 	select {
