Keep keys withdrawn where the list of organisations is gone

Cause: a configuration is complete in itself, and nodes kept nothing of earlier ones. So one without the list was taken for a platform that never had organisations, where Authorization is a field like any other.

Change: whether a configuration has ever had the list is a state of its own (unknown, never issued, issued) that only rises. Nodes state it in syncs, and the readers of the configuration keep it in a topic of the store. Content.KeyRule is the one question of the entry node, the node beside the target, and the explanation: without the list a request needs no key, one with a key gets 401 if keys were issued, 503 while that is not known, and is forwarded with it if none ever were. A failed read says nothing.

The soak's rows "401 without a list" stay; they hold for a run that never had one.

--- a/server/coordination/control/apply.go
+++ b/server/coordination/control/apply.go
@@ -50,6 +50,9 @@
 		return false
 	}
 	l.state.Store(state)
+	if state.Content().RequiresKeys() {
+		l.raiseKeyHistory(config.KeysIssued, from)
+	}
 	l.recordInForce(old, state, from, time.Now())
 	if state.Offset() >= l.blockedAt {
 		l.blockedAt = 0
@@ -199,6 +202,7 @@
 		Nodes:     make(map[string]*endpoint.Entry, len(all)),
 		Ready:     l.ready,
 
+		KeyHistory:  l.keyHistory,
 		FleetStated: l.fleet.stated,
 		FleetFloor:  l.fleet.floor,
 	}
--- a/server/coordination/control/loop.go
+++ b/server/coordination/control/loop.go
@@ -50,6 +50,7 @@
 	rejections       rejections
 	lag              lagTracker
 	fleet            fleetSize
+	keyHistory       config.KeyHistory
 	clients          map[string]*client
 	watchedSince     map[string]time.Time
 	unreachableUntil map[string]time.Time
--- a/server/coordination/control/notify.go
+++ b/server/coordination/control/notify.go
@@ -40,6 +40,7 @@
 	onSnapshotRejected  func(SnapshotRejection)
 	onLag               func(Lag)
 	onStoreEra          func(uint64)
+	onKeyHistory        func(KeyHistoryChange)
 
 	wake         chan struct{}
 	mu           sync.Mutex
@@ -50,6 +51,7 @@
 	rejected     []SnapshotRejection
 	lag          *Lag
 	storeEra     uint64
+	keyHistory   *KeyHistoryChange
 }
 
 func (n *notifier) init() { n.wake = make(chan struct{}, 1) }
@@ -75,8 +77,8 @@
 		n.mu.Lock()
 		roles, dead, ahead, installed, rejected, lag := n.roles, n.declaredDead, n.ahead, n.installed, n.rejected, n.lag
 		n.roles, n.declaredDead, n.ahead, n.installed, n.rejected, n.lag = nil, false, nil, nil, nil, nil
-		storeEra := n.storeEra
-		n.storeEra = 0
+		storeEra, keyHistory := n.storeEra, n.keyHistory
+		n.storeEra, n.keyHistory = 0, nil
 		n.mu.Unlock()
 		for _, i := range installed {
 			if n.onSnapshotInstalled != nil {
@@ -103,6 +105,9 @@
 		if storeEra > 0 && n.onStoreEra != nil {
 			n.onStoreEra(storeEra)
 		}
+		if keyHistory != nil && n.onKeyHistory != nil {
+			n.onKeyHistory(*keyHistory)
+		}
 	}
 }
 
--- a/server/coordination/control/sync.go
+++ b/server/coordination/control/sync.go
@@ -92,6 +92,7 @@
 	l.pullFromAhead(args)
 	l.heardOfEra(args.StoreEra)
 	l.heardOfFleet(args.FleetSize)
+	l.heardOfKeys(args.KeyHistory, args.Node)
 	return c
 }
 
@@ -234,6 +235,7 @@
 	reply.Uninstallable, reply.UninstallableSequence = uninstallable.Offset, uninstallable.Sequence
 	reply.StoreEra = l.storeEra()
 	reply.FleetSize = l.fleet.statement()
+	reply.KeyHistory = l.keyHistory
 	reply.Ready = l.ready
 	reply.ContactAgeMS = l.ContactAge().Milliseconds()
 	reply.HeldMS = now.Sub(received).Milliseconds()
@@ -254,6 +256,7 @@
 			Version:     state.Version(),
 			StoreEra:    l.storeEra(),
 			FleetSize:   l.fleet.statement(),
+			KeyHistory:  l.keyHistory,
 			Ready:       l.ready,
 			Reads:       l.roles.Load().ReadsLog,
 			Rejected:    l.rejections.offsets(time.Now()),
@@ -297,6 +300,7 @@
 	l.heardOfUninstallable(config.Order{Sequence: reply.UninstallableSequence, Offset: reply.Uninstallable})
 	l.heardOfEra(reply.StoreEra)
 	l.heardOfFleet(reply.FleetSize)
+	l.heardOfKeys(reply.KeyHistory, from)
 	if len(reply.Snapshot) > 0 && l.installSnapshot(reply, from, now) {
 		l.reportSnapshotInstall(from, now)
 	}
--- a/server/coordination/dispatch/authorize.go
+++ b/server/coordination/dispatch/authorize.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -11,12 +12,11 @@
 	"wagtailford.example/server/state/view"
 )
 
-const schemeBearer = "Bearer"
-
 // authorize returns the organisation of a request, which is nil for calls of the local target and on public routes, or the
-// refusal of a request without a valid key. If the configuration requires no keys, the field is forwarded like any other.
+// refusal of a request without a valid key. Where keys do not decide, a field without a key is forwarded like any other.
 func (h *Handler) authorize(v *view.View, route *config.Route, r *Request) (*config.Organisation, *Result) {
-	if !v.Content.RequiresKeys() {
+	rule := v.KeyRule()
+	if rule == config.KeysIgnored || rule != config.KeysDecide && !carriesKey(r.Authorization) {
 		for _, value := range r.Authorization {
 			r.Headers = append(r.Headers, wire.Header{Name: wire.HeaderAuthorization, Value: value})
 		}
@@ -26,11 +26,13 @@
 	return h.admitOrganisation(v, route, routing.FindOrganisation(v.Content, bearerKey(r.Authorization)), isCallOfTarget)
 }
 
-// admitOrganisation returns the organisation of a request, nil if it has none, or the refusal if the route requires one.
+// admitOrganisation returns the organisation of a request that carries a key or needs one, nil if it needs none, or the refusal.
 func (h *Handler) admitOrganisation(
 	v *view.View, route *config.Route, organisation *config.Organisation, isCallOfTarget bool,
 ) (*config.Organisation, *Result) {
 	switch {
+	case v.KeyRule() == config.KeysUndecided:
+		return nil, &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonBehind, RetryAfter: behindRetryAfter}
 	case organisation != nil:
 		return organisation, nil
 	case route.Public, isCallOfTarget:
@@ -42,15 +44,20 @@
 	return nil, &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonUnauthorized}
 }
 
+// carriesKey reports whether a value of the field has the form of a key.
+func carriesKey(values []string) bool {
+	return slices.ContainsFunc(values, wire.IsKey)
+}
+
 // bearerKey returns the key in the only value of the field; empty if there are several values or another scheme.
 func bearerKey(values []string) string {
 	if len(values) != 1 {
 		return ""
 	}
-	scheme, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
-	if !strings.EqualFold(scheme, schemeBearer) {
+	if !wire.IsKey(values[0]) {
 		return ""
 	}
+	_, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
 	return strings.TrimLeft(key, " ")
 }
 
--- a/server/coordination/dispatch/explain.go
+++ b/server/coordination/dispatch/explain.go
@@ -189,7 +189,8 @@
 
 // organisation looks up the organisation by name in place of its key. One without keys cannot send requests.
 func (s *explaining) organisation(v *view.View, route *config.Route, _ *Request) (*config.Organisation, *Result) {
-	if !v.Content.RequiresKeys() {
+	rule := v.KeyRule()
+	if rule == config.KeysIgnored || rule != config.KeysDecide && s.request.Organisation == "" {
 		return nil, nil
 	}
 	var named *config.Organisation
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -14,6 +14,7 @@
 	"wagtailford.example/server/coordination/admission"
 	"wagtailford.example/server/protocol/outcome"
 	"wagtailford.example/server/protocol/wire"
+	"wagtailford.example/server/state/config"
 	"wagtailford.example/server/state/suspect"
 	"wagtailford.example/server/transport/httpclient"
 )
@@ -99,12 +100,19 @@
 	return markArrived(answered(resp))
 }
 
-// withoutKey returns the request without the key of an organisation if the configuration in force requires keys. The node that
-// took the request removes it too, unless it had an earlier configuration, by which the field is like any other.
+// withoutKey returns the request without what must not reach the target of the field of keys. The node that took the request
+// removes it too, unless it had an earlier configuration, by which the field is like any other.
 func (e *Executor) withoutKey(r *wire.Request) *wire.Request {
-	isKey := func(h wire.Header) bool { return strings.EqualFold(h.Name, wire.HeaderAuthorization) }
-	content := e.deps.View().Content
-	if content == nil || !content.RequiresKeys() || !slices.ContainsFunc(r.Headers, isKey) {
+	v := e.deps.View()
+	if v.Content == nil {
+		return r
+	}
+	rule := v.KeyRule()
+	isKey := func(h wire.Header) bool {
+		return strings.EqualFold(h.Name, wire.HeaderAuthorization) &&
+			(rule == config.KeysDecide || rule == config.KeysWithdrawn && wire.IsKey(h.Value))
+	}
+	if !slices.ContainsFunc(r.Headers, isKey) {
 		return r
 	}
 	stripped := *r
--- a/server/coordination/fanout/link.go
+++ b/server/coordination/fanout/link.go
@@ -121,6 +121,7 @@
 		Sequence:    out.Number,
 		StoreEra:    out.StoreEra,
 		FleetSize:   out.FleetSize,
+		KeyHistory:  out.KeyHistory,
 		Version:     out.Version,
 		Ready:       out.Ready,
 		Reads:       out.Reads,
--- a/server/coordination/fanout/syncer.go
+++ b/server/coordination/fanout/syncer.go
@@ -52,7 +52,9 @@
 	StoreEra uint64
 	// FleetSize is the number of nodes, as the node knows it; 0 if no source has stated it.
 	FleetSize int
-	Ready     bool
+	// KeyHistory is what the node knows of keys in earlier configurations.
+	KeyHistory config.KeyHistory
+	Ready      bool
 	// Reads is true if the node reads the configuration from its source itself.
 	Reads bool
 	// Rejected are the offsets of states that the node could not use a short time ago, by the name or address of the peer
--- /dev/null
+++ b/server/coordination/keyhistory/keyhistory_test.go
@@ -0,0 +1,102 @@
+package keyhistory
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"wagtailford.example/server/state/config"
+)
+
+// fakeStore is a store whose calls may fail.
+type fakeStore struct {
+	marked, away bool
+	reads, marks int
+}
+
+var errAway = errors.New("away")
+
+func (s *fakeStore) IsMarked(context.Context) (bool, error) {
+	s.reads++
+	if s.away {
+		return false, errAway
+	}
+	return s.marked, nil
+}
+
+func (s *fakeStore) Mark(context.Context) error {
+	s.marks++
+	if s.away {
+		return errAway
+	}
+	s.marked = true
+	return nil
+}
+
+// play runs a keeper in virtual time. steps are called one after the other, with a time between two that covers several reviews.
+func play(t *testing.T, s *fakeStore, history *config.KeyHistory, steps ...func(k *Keeper)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		k := NewKeeper(Dependencies{
+			Store: s, History: func() config.KeyHistory { return *history },
+			State: func(h config.KeyHistory) { *history = max(*history, h) },
+			Log:   &log.Logger{Handler: discard.New()},
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { k.Run(ctx); close(done) }()
+		for _, step := range steps {
+			time.Sleep(3 * reviewInterval)
+			synctest.Wait()
+			step(k)
+		}
+		stop()
+		<-done
+	})
+}
+
+// Guards against a failed read that is taken for a store without the mark, which would open a platform whose keys are withdrawn.
+func TestHistoryIsUnknownUntilTheStoreHasStatedIt(t *testing.T) {
+	for _, marked := range []bool{false, true} {
+		s := &fakeStore{marked: marked, away: true}
+		var history config.KeyHistory
+		play(t, s, &history, func(*Keeper) {
+			assert.Equal(t, history, config.KeyHistoryUnknown)
+			s.away = false
+		}, func(*Keeper) {
+			assert.Equal(t, history, historyOf(marked))
+			assert.Equal(t, s.marks, 0)
+		})
+	}
+}
+
+// Guards against a mark that is not written, or written again and again: keys are issued while the store is away, or a store that
+// was restored from a copy lacks the mark.
+func TestMarkIsWrittenOnce(t *testing.T) {
+	s := &fakeStore{}
+	var history config.KeyHistory
+	play(t, s, &history, func(*Keeper) {
+		s.away = true
+		history = config.KeysIssued
+	}, func(*Keeper) {
+		assert.Assert(t, !s.marked)
+		s.away = false
+	}, func(*Keeper) {
+		assert.Assert(t, s.marked)
+		s.marks, s.reads = 0, 0
+	}, func(k *Keeper) {
+		assert.Equal(t, s.marks+s.reads, 0)
+		s.marked = false
+		k.Rewrite()
+	}, func(*Keeper) {
+		assert.Assert(t, s.marked)
+		assert.Equal(t, s.marks, 1)
+		assert.Equal(t, history, config.KeysIssued)
+	})
+}
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -21,6 +21,7 @@
 	"wagtailford.example/server/coordination/execute"
 	"wagtailford.example/server/coordination/fanout"
 	"wagtailford.example/server/coordination/follow"
+	"wagtailford.example/server/coordination/keyhistory"
 	"wagtailford.example/server/coordination/quota"
 	"wagtailford.example/server/coordination/rollout"
 	"wagtailford.example/server/coordination/routing"
@@ -46,6 +47,8 @@
 	CrashRecords() crashrecords.Store
 	// Rollouts is where the state of rollouts outlives the node that decides, and where the operator reads it.
 	Rollouts() rollout.Store
+	// KeyHistory is where it outlives a restart of all nodes that keys of organisations were issued.
+	KeyHistory() keyhistory.Store
 	// Dialect encodes requests to targets and decodes their responses.
 	Dialect() execute.Codec
 	// ServeCallers, ServeTargets and ServeReady register the interfaces of the node on servers that do not run yet.
@@ -109,6 +112,7 @@
 	sourceReader *sourceReader
 	executor     *execute.Executor
 	crashRecords *crashrecords.Keeper
+	keyHistory   *keyhistory.Keeper
 	registrar    *announce.Registrar
 	dispatch     *dispatch.Handler
 	rollouts     *rollout.Manager
@@ -170,6 +174,11 @@
 	h.control.OnSnapshotInstalled(logSnapshotInstall)
 	h.control.OnLag(h.lagChanged)
 	h.control.OnStoreEra(h.platform.ObserveStoreEra)
+	h.control.OnKeyHistory(logKeyHistory)
+	h.keyHistory = keyhistory.NewKeeper(keyhistory.Dependencies{
+		Store: h.platform.KeyHistory(), History: h.KeyHistory,
+		State: h.control.StateKeyHistory, Log: log.Log,
+	})
 	h.platform.OnStoreRestored(h.storeRestored)
 	h.follower = follow.NewSourceFollower(h.platform.Source(h.control.State), &restoredSink{SourceSink: h.control, restored: h.restored}, follow.SourceFollowerSettings{
 		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, CoalesceDelay: sourceCoalesceDelay,
@@ -221,6 +230,20 @@
 	}).Info("configuration in force")
 }
 
+// logKeyHistory logs what the node has learned of keys in earlier configurations.
+func logKeyHistory(c control.KeyHistoryChange) {
+	log.WithFields(log.Fields{"event": "key_history", "history": c.History.String(), "from": c.From}).
+		Info("learned whether a configuration has had a list of organisations")
+}
+
+// readSource reads configurations, and what the store states of earlier ones, until ctx ends.
+func (h *Hosted) readSource(ctx context.Context) {
+	var keeping sync.WaitGroup
+	keeping.Go(func() { h.keyHistory.Run(ctx) })
+	h.follower.Run(ctx)
+	keeping.Wait()
+}
+
 func (h *Hosted) buildExecutor() error {
 	s := h.settings
 	h.trafficPool = peer.NewPool(h.credential(), h.trafficLimits())
@@ -358,6 +381,9 @@
 // Sequence returns the publisher's number of the configuration in force; 0 if there is none.
 func (h *Hosted) Sequence() uint64 { return h.control.View().Sequence }
 
+// KeyHistory returns what the node knows of keys in earlier configurations.
+func (h *Hosted) KeyHistory() config.KeyHistory { return h.control.View().KeyHistory }
+
 // Run serves until ctx ends, and then stops gracefully within the shutdown timeout.
 func (h *Hosted) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
@@ -366,7 +392,7 @@
 	h.work.Go(func() { h.control.Run(background) })
 	h.work.Go(func() { h.syncer.Run(background) })
 	h.work.Go(func() { h.restore(background) })
-	h.work.Go(func() { h.sourceReader.run(background, h.follower.Run) })
+	h.work.Go(func() { h.sourceReader.run(background, h.readSource) })
 	h.work.Go(func() { h.registrar.Run(background) })
 	h.work.Go(func() { h.quota.Run(background) })
 	h.work.Go(func() { h.discover(background) })
--- a/server/daemon/restore.go
+++ b/server/daemon/restore.go
@@ -97,5 +97,6 @@
 	time.AfterFunc(rand.N(rewriteSpread), func() {
 		h.republish.Store(true)
 		h.crashRecords.Rewrite()
+		h.keyHistory.Rewrite()
 	})
 }
--- a/server/protocol/wire/headers.go
+++ b/server/protocol/wire/headers.go
@@ -15,6 +15,15 @@
 // HeaderAuthorization is the field with the key of an organisation.
 const HeaderAuthorization = "Authorization"
 
+// schemeKey is the scheme of a key in HeaderAuthorization.
+const schemeKey = "Bearer"
+
+// IsKey reports whether a value of HeaderAuthorization has the form of a key.
+func IsKey(value string) bool {
+	scheme, _, _ := strings.Cut(strings.TrimSpace(value), " ")
+	return strings.EqualFold(scheme, schemeKey)
+}
+
 // NameSet holds names in canonical form.
 func NameSet(names ...string) map[string]bool {
 	set := make(map[string]bool, len(names))
--- a/server/protocol/wire/wire.go
+++ b/server/protocol/wire/wire.go
@@ -34,7 +34,9 @@
 	StoreEra uint64
 	// FleetSize is the number of nodes, as the child knows it; 0 if no source has stated it, and from a node of an older build.
 	FleetSize int
-	Ready     bool
+	// KeyHistory is what the child knows of keys in earlier configurations; unknown from a node of an older build.
+	KeyHistory config.KeyHistory
+	Ready      bool
 	// ParentInstance and TableSequence say what the child has seen of the parent's endpoint table.
 	ParentInstance int64
 	TableSequence  uint64
@@ -77,6 +79,8 @@
 	StoreEra uint64
 	// FleetSize is the number of nodes, as the parent knows it; 0 if no source has stated it, and from a node of an older build.
 	FleetSize int
+	// KeyHistory is what the parent knows of keys in earlier configurations; unknown from a node of an older build.
+	KeyHistory config.KeyHistory
 	// ContactAgeMS is how long ago the parent had contact with a node that would know of its death verdict, in
 	// milliseconds.
 	ContactAgeMS int64
--- a/server/state/view/view.go
+++ b/server/state/view/view.go
@@ -28,8 +28,13 @@
 	Nodes map[string]*endpoint.Entry
 	// Ready is true if the node has reached the highest version known among reachable peers and the log.
 	Ready bool
+	// KeyHistory is what the node knows of keys in earlier configurations.
+	KeyHistory config.KeyHistory
 	// FleetStated is true once a source has stated the number of nodes: the directory, or a node that it was stated to. Before,
 	// Nodes says nothing about it. FleetFloor is that number until Nodes has as many that have not left, then 0.
 	FleetStated bool
 	FleetFloor  int
 }
+
+// KeyRule returns what the key of a request means on this node.
+func (v *View) KeyRule() config.KeyRule { return v.Content.KeyRule(v.KeyHistory) }
--- a/standin/soak/growth.go
+++ b/standin/soak/growth.go
@@ -39,6 +39,9 @@
 	gained             routeRange
 	list               listForm
 	sent, acknowledged time.Time
+	// followsList is true if an earlier configuration had a list of organisations, and keysWithdrawn if nodes in touch must have had
+	// one in force before this one was sent.
+	followsList, keysWithdrawn bool
 }
 
 // publications are all published configurations, in their order. They are safe for concurrent use.
@@ -51,6 +54,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.sent = time.Now()
+	for _, earlier := range p.list {
+		hasList := earlier.list != listAbsent
+		c.followsList = c.followsList || hasList
+		c.keysWithdrawn = c.keysWithdrawn || hasList && earlier.boundPassed(c.sent)
+	}
 	p.list = append(p.list, c)
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -207,12 +207,23 @@
 		}
 		return all
 	}
+	afterList := func(isWithdrawn bool) []publication {
+		return []publication{{version: 1, list: listAbsent, followsList: true, keysWithdrawn: isWithdrawn}}
+	}
 	for _, c := range []struct {
 		key    string
 		status int
 		list   []publication
 		fault  string
 	}{
+		{organisationKey, 200, afterList(true), "ROUTE"},
+		{unknownKey, 200, afterList(true), "ROUTE"},
+		{unknownKey, 200, append(afterList(true), list(listFull)...), "ROUTE"},
+		{organisationKey, 200, append(afterList(true), list(listFull)...), ""},
+		{organisationKey, 200, afterList(false), ""},
+		{organisationKey, 401, afterList(true), ""},
+		{organisationKey, 401, afterList(false), ""},
+		{organisationKey, 429, afterList(true), "DENIED"},
 		{organisationKey, 200, list(listFull), ""},
 		{organisationKey, 200, list(listEmpty, listFull), ""},
 		{organisationKey, 200, list(listEmpty), "ROUTE"},
@@ -255,3 +266,24 @@
 		assert.Equal(t, len(check.faults) > 0, c.fault, "%+v", c)
 	}
 }
+
+// Guards against a check of keys that forgets the lists of earlier configurations, or blames nodes for one that they may have
+// skipped.
+func TestKeysAreWithdrawnAfterAListThatWasInForce(t *testing.T) {
+	var p publications
+	publish := func(list listForm, acknowledged time.Duration) publication {
+		p.begin(publication{list: list})
+		if acknowledged > 0 {
+			p.list[len(p.list)-1].acknowledged = time.Now().Add(-acknowledged)
+		}
+		return p.last()
+	}
+	c := publish(listAbsent, time.Hour)
+	assert.Assert(t, !c.followsList && !c.keysWithdrawn)
+	publish(listEmpty, 0)
+	c = publish(listAbsent, time.Hour)
+	assert.Assert(t, c.followsList && !c.keysWithdrawn)
+	publish(listNull, 2*configBound)
+	c = publish(listAbsent, 0)
+	assert.Assert(t, c.followsList && c.keysWithdrawn)
+}
