Take a request without a key for a call only while the target may run one

Cause: calls of the target carry no key and come from its address, and so do requests of callers on its VM. The address alone decided.

Change: the node beside the target knows which requests it has sent there. A request without a key from that address is a call while one is not answered; after one was given up, until the deadline that the target got; 1 s longer in both cases; and after a start of the node for the longest timeout of a route and 1 s, since the requests of the earlier process are not known. Otherwise it gets 401.

A request is counted before its first byte is sent, so no call of it comes earlier. While the target runs requests, a caller on its VM that sends no key is still not told apart from a call.

--- a/server/coordination/dispatch/authorize.go
+++ b/server/coordination/dispatch/authorize.go
@@ -22,8 +22,13 @@
 		}
 		return nil, nil
 	}
-	isCallOfTarget := r.FromTarget && len(r.Authorization) == 0
-	return h.admitOrganisation(v, route, routing.FindOrganisation(v.Content, bearerKey(r.Authorization)), isCallOfTarget)
+	return h.admitOrganisation(v, route, routing.FindOrganisation(v.Content, bearerKey(r.Authorization)), h.isCallOfTarget(r))
+}
+
+// isCallOfTarget reports whether a request may be a call that the local target makes for a request that it runs. Callers on its host
+// have the same address, so a request without a key is none while the target runs nothing.
+func (h *Handler) isCallOfTarget(r *Request) bool {
+	return r.FromTarget && len(r.Authorization) == 0 && (h.deps.MayTargetCall == nil || h.deps.MayTargetCall())
 }
 
 // admitOrganisation returns the organisation of a request that carries a key or needs one, nil if it needs none, or the refusal.
--- a/server/coordination/dispatch/authorize_test.go
+++ b/server/coordination/dispatch/authorize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -77,3 +78,17 @@
 		}
 	}
 }
+
+// Guards against callers on the host of the target that need no key while the target runs nothing for which it could make calls.
+func TestRequestWithoutKeyIsACallOnlyWhileTheTargetMayCall(t *testing.T) {
+	v := testView()
+	v.Content, v.KeyHistory = &config.Content{Authentication: config.KeysRequired}, config.KeysIssued
+	h := newHandler(&mesh{}, v, 1)
+	for _, c := range []struct{ fromTarget, mayCall, refused bool }{
+		{false, false, true}, {false, true, true}, {true, false, true}, {true, true, false},
+	} {
+		h.deps.MayTargetCall = func() bool { return c.mayCall }
+		_, refused := h.authorize(v, &config.Route{Timeout: time.Second}, &Request{FromTarget: c.fromTarget})
+		assert.Check(t, (refused != nil) == c.refused, "%+v", c)
+	}
+}
--- a/server/coordination/dispatch/dispatch.go
+++ b/server/coordination/dispatch/dispatch.go
@@ -94,6 +94,8 @@
 	Call func(ctx context.Context, address, method string, args, reply any) error
 	// Local executes a request at the local target.
 	Local func(ctx context.Context, r *wire.Request) *wire.Response
+	// MayTargetCall reports whether the local target may run a request, and so make calls for it; nil if that is not known.
+	MayTargetCall func() bool
 	// CallerService returns the service of the local target.
 	CallerService func() string
 	// Random returns uniformly distributed values.
--- a/server/coordination/execute/executor.go
+++ b/server/coordination/execute/executor.go
@@ -116,6 +116,7 @@
 	remoteIndex atomic.Pointer[remoteCrashIndex]
 	attempts    attempts
 	condition   condition
+	running     runningRequests
 
 	mu     sync.Mutex
 	target Target
--- a/server/coordination/execute/run.go
+++ b/server/coordination/execute/run.go
@@ -74,7 +74,9 @@
 		kind = codec.Read(r, resp)
 		return matchOf(kind)
 	}
+	e.running.begin()
 	err := e.client.DoStreamed(ctx, target.Address, req, body, resp, time.Until(deadline), prepare, matcher)
+	e.running.end(isOver(err, kind), deadline)
 	if err != nil {
 		return e.responseForError(err, f, r, target)
 	}
@@ -100,6 +102,12 @@
 	return markArrived(answered(resp))
 }
 
+// isOver reports whether the target does not run a request any more: it has responded to it, or was not sent it.
+func isOver(err error, kind ResponseKind) bool {
+	var notSent *httpclient.NotSentError
+	return err == nil && kind != ResponseCorrupt || errors.As(err, &notSent)
+}
+
 // withoutKey returns the request without what must not reach the target of the field of keys. The node that took the request
 // removes it too, unless it had an earlier configuration, by which the field is like any other.
 func (e *Executor) withoutKey(r *wire.Request) *wire.Request {
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -352,6 +352,7 @@
 		IsBehind:       h.control.IsBehind,
 		Call:           h.trafficPool.Call,
 		Local:          h.executor.Execute,
+		MayTargetCall:  h.mayTargetCall,
 		CallerService:  h.registrar.Service,
 		Rollouts:       h.rollouts,
 		Random:         rand.Uint64,
@@ -470,11 +471,22 @@
 
 // finishTime returns the time that requests in flight may need, at most half of the limit.
 func (h *Hosted) finishTime(limit time.Duration) time.Duration {
+	return min(h.longestTimeout()+finishMargin, limit/2)
+}
+
+// longestTimeout returns the longest timeout of a route of the configuration in force.
+func (h *Hosted) longestTimeout() time.Duration {
 	var longest time.Duration
-	for i := range h.control.View().Content.Routes {
-		longest = max(longest, h.control.View().Content.Routes[i].Timeout)
+	routes := h.control.View().Content.Routes
+	for i := range routes {
+		longest = max(longest, routes[i].Timeout)
 	}
-	return min(longest+finishMargin, limit/2)
+	return longest
+}
+
+// mayTargetCall reports whether the target may run a request, and so make calls for it.
+func (h *Hosted) mayTargetCall() bool {
+	return h.executor.MayRunRequest(time.Now(), h.started, h.longestTimeout())
 }
 
 // leave publishes that this node has left. Its directory record is kept: most nodes that stop are restarted at the same
