Name the refusal of a key whose history is unknown apart from a node that is behind

Operators would have seen `configuration_behind` for a request with a key at a node that has the newest configuration and does not know whether keys were ever issued, and the explanation said that a newer configuration exists. The refusal has a reason of its own now, key_history_unknown (503). TestExplainedRejections has rows for it and for a list that is gone; the row of the unknown history failed with the old reason ("Behind" false).

--- a/server/coordination/dispatch/authorize.go
+++ b/server/coordination/dispatch/authorize.go
@@ -12,6 +12,10 @@
 	"wagtailford.example/server/state/view"
 )
 
+// keysUnknownRetryAfter is the retry delay returned while the node does not know the history of keys. A starting node learns it from
+// another node or the store within a few hundred milliseconds.
+const keysUnknownRetryAfter = 300 * time.Millisecond
+
 // authorize returns the organisation of a request, which is nil for calls of the local target and on public routes, or the
 // refusal of a request without a valid key. Where keys do not decide, a field without a key is forwarded like any other.
 func (h *Handler) authorize(v *view.View, route *config.Route, r *Request) (*config.Organisation, *Result) {
@@ -37,7 +41,7 @@
 ) (*config.Organisation, *Result) {
 	switch {
 	case v.KeyRule() == config.KeysUndecided:
-		return nil, &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonBehind, RetryAfter: behindRetryAfter}
+		return nil, &Result{Outcome: outcome.RefusedNotRun, Reason: outcome.ReasonKeysUnknown, RetryAfter: keysUnknownRetryAfter}
 	case organisation != nil:
 		return organisation, nil
 	case route.Public, isCallOfTarget:
--- a/server/coordination/dispatch/authorize_test.go
+++ b/server/coordination/dispatch/authorize_test.go
@@ -22,7 +22,7 @@
 	valid, unknown, basic := []string{"Bearer k"}, []string{"bearer  other"}, []string{"Basic k"}
 	const (
 		unauthorized = outcome.ReasonUnauthorized
-		behind       = outcome.ReasonBehind
+		undecided    = outcome.ReasonKeysUnknown
 		runs         = outcome.ReasonNone
 	)
 	for _, c := range []struct {
@@ -53,8 +53,8 @@
 		{absent, config.KeysNeverIssued, append(basic[:1:1], unknown...), config.Route{}, runs, "", 2},
 		{absent, config.KeysNeverIssued, nil, config.Route{}, runs, "", 0},
 
-		{absent, config.KeyHistoryUnknown, valid, config.Route{}, behind, "", 0},
-		{absent, config.KeyHistoryUnknown, unknown, config.Route{Public: true}, behind, "", 0},
+		{absent, config.KeyHistoryUnknown, valid, config.Route{}, undecided, "", 0},
+		{absent, config.KeyHistoryUnknown, unknown, config.Route{Public: true}, undecided, "", 0},
 		{absent, config.KeyHistoryUnknown, basic, config.Route{}, runs, "", 1},
 		{absent, config.KeyHistoryUnknown, nil, config.Route{}, runs, "", 0},
 	} {
@@ -66,7 +66,7 @@
 		reason, name := runs, ""
 		if refused != nil {
 			reason = refused.Reason
-			assert.Check(t, refused.Outcome == outcome.RefusedNotRun && (reason != behind || refused.RetryAfter > 0), "%+v", refused)
+			assert.Check(t, refused.Outcome == outcome.RefusedNotRun && (reason != undecided || refused.RetryAfter > 0), "%+v", refused)
 		}
 		if o != nil {
 			name = o.Name
--- a/server/coordination/dispatch/explain_test.go
+++ b/server/coordination/dispatch/explain_test.go
@@ -251,6 +251,12 @@
 		{"no list of organisations", "/r/1", "", func(_ *Handler, v *view.View) {
 			v.Content.Authentication, v.Content.Organisations = config.KeysNotRequired, nil
 		}, outcome.ReasonNone, 0},
+		{"list of organisations gone", "/r/1", "small", func(_ *Handler, v *view.View) {
+			v.Content.Authentication, v.Content.Organisations, v.KeyHistory = config.KeysNotRequired, nil, config.KeysIssued
+		}, outcome.ReasonUnauthorized, 0},
+		{"history of keys unknown", "/r/1", "small", func(_ *Handler, v *view.View) {
+			v.Content.Authentication, v.Content.Organisations = config.KeysNotRequired, nil
+		}, outcome.ReasonKeysUnknown, keysUnknownRetryAfter},
 		{"stopping", "/r/1", "small", func(h *Handler, _ *view.View) { h.StopAccepting() }, outcome.ReasonShutdown, shutdownRetryAfter},
 		{"quota", "/r/1", "small", func(h *Handler, v *view.View) {
 			for range 120 {
--- a/server/protocol/outcome/http.go
+++ b/server/protocol/outcome/http.go
@@ -71,7 +71,7 @@
 	case ReasonNotReady, ReasonNoRoute, ReasonNoTarget, ReasonDraining, ReasonTargetDown, ReasonQueueFull, ReasonWaitExceeded,
 		ReasonDeadline, ReasonOverloaded, ReasonNotOwner, ReasonNotEligible, ReasonSelfFenced, ReasonSuspect,
 		ReasonConnectFailed, ReasonShutdown, ReasonAttemptsExhausted, ReasonRouteChanged, ReasonTargetFull,
-		ReasonTargetReplaced, ReasonRateLimited, ReasonShareExceeded, ReasonBehind:
+		ReasonTargetReplaced, ReasonRateLimited, ReasonShareExceeded, ReasonBehind, ReasonKeysUnknown:
 		return true
 	}
 	return false
--- a/server/protocol/outcome/outcome.go
+++ b/server/protocol/outcome/outcome.go
@@ -85,6 +85,9 @@
 	// ReasonBehind means that the configuration in force has no route for the request, and that the node knows of a newer
 	// configuration, which may have one.
 	ReasonBehind Reason = "configuration_behind"
+	// ReasonKeysUnknown means that the request carries a key, the configuration in force has no list of organisations, and the node
+	// does not know yet whether an earlier one had.
+	ReasonKeysUnknown Reason = "key_history_unknown"
 	// ReasonShareExceeded means that the organisation of the request has used its share of a full target, which requests of
 	// other organisations may still reach.
 	ReasonShareExceeded Reason = "share_exceeded"
