Look for the longest timeout only where the target runs nothing

Each request without a key from the target's VM, so each call of a target, walked over all routes for the longest timeout, which matters only in the first seconds of a process. Now the requests that run are looked at first. The keeper of the history of keys waits 4 s for the store, since nothing else waits for it.

--- a/server/coordination/execute/running.go
+++ b/server/coordination/execute/running.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// callMargin is added to the time in which the target may make calls for a request: a call that was made in time may be read late.
-const callMargin = time.Second
+// CallMargin is added to the time in which the target may make calls for a request: a call that was made in time may be read late.
+const CallMargin = time.Second
 
 // runningRequests knows whether the target may run a request that this process sent to it. It is safe for concurrent use.
 type runningRequests struct {
@@ -33,7 +33,7 @@
 	if !isOver && deadline.After(last) {
 		last = deadline
 	}
-	if last = last.Add(callMargin); last.After(r.until) {
+	if last = last.Add(CallMargin); last.After(r.until) {
 		r.until = last
 	}
 }
@@ -44,8 +44,6 @@
 	return r.running > 0 || now.Before(r.until)
 }
 
-// MayRunRequest reports whether the target may run a request, and so make calls for it. Requests that an earlier process of this
-// node sent are not known, so they are assumed until they would have ended: longest after the start of this process.
-func (e *Executor) MayRunRequest(now, started time.Time, longest time.Duration) bool {
-	return e.running.any(now) || now.Sub(started) < longest+callMargin
-}
+// MayRunRequest reports whether the target may run a request that this process has sent to it, and so make calls for it. Requests
+// that an earlier process of this node sent are not known.
+func (e *Executor) MayRunRequest(now time.Time) bool { return e.running.any(now) }
--- a/server/coordination/keyhistory/keyhistory.go
+++ b/server/coordination/keyhistory/keyhistory.go
@@ -23,8 +23,8 @@
 }
 
 const (
-	// callTimeout limits one call to the store. A slow store answers within some tenths of a second.
-	callTimeout = time.Second
+	// callTimeout limits the calls of one review. Nothing else waits for them, so it covers a store that takes seconds to answer.
+	callTimeout = 4 * time.Second
 	// reviewInterval is the time between two reviews of the configuration in force, and after a failed call.
 	reviewInterval = time.Second
 )
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -486,7 +486,14 @@
 
 // mayTargetCall reports whether the target may run a request, and so make calls for it.
 func (h *Hosted) mayTargetCall() bool {
-	return h.executor.MayRunRequest(time.Now(), h.started, h.longestTimeout())
+	now := time.Now()
+	return h.executor.MayRunRequest(now) || mayBeFromEarlierProcess(now.Sub(h.started), h.longestTimeout())
+}
+
+// mayBeFromEarlierProcess reports whether the target may run a request that an earlier process of this node sent. Such requests are
+// not known, so they are assumed until the longest timeout of a route has passed since this process started.
+func mayBeFromEarlierProcess(age, longest time.Duration) bool {
+	return age < longest+execute.CallMargin
 }
 
 // leave publishes that this node has left. Its directory record is kept: most nodes that stop are restarted at the same
