Take a key behind a tab for one where keys are withdrawn

Without the list of organisations, a value "Bearer<tab>key" was no key by its form, so the request ran and the target got the field. The scheme ends at any blank now; the row of TestAuthorization failed before ("forwarded, 1 value").

--- a/server/coordination/dispatch/authorize_test.go
+++ b/server/coordination/dispatch/authorize_test.go
@@ -45,6 +45,8 @@
 
 		{absent, config.KeysIssued, valid, config.Route{}, unauthorized, "", 0},
 		{absent, config.KeysIssued, append(basic[:1:1], unknown...), config.Route{}, unauthorized, "", 0},
+		{absent, config.KeysIssued, []string{"\tBEARER\tother"}, config.Route{}, unauthorized, "", 0},
+		{absent, config.KeysIssued, []string{"Bearer"}, config.Route{}, unauthorized, "", 0},
 		{absent, config.KeysIssued, unknown, config.Route{Public: true}, runs, "", 0},
 		{absent, config.KeysIssued, basic, config.Route{}, runs, "", 1},
 		{absent, config.KeysIssued, nil, config.Route{}, runs, "", 0},
--- a/server/protocol/wire/headers.go
+++ b/server/protocol/wire/headers.go
@@ -18,9 +18,12 @@
 // schemeKey is the scheme of a key in HeaderAuthorization.
 const schemeKey = "Bearer"
 
-// IsKey reports whether a value of HeaderAuthorization has the form of a key.
+// IsKey reports whether a value of HeaderAuthorization has the form of a key, with any blanks behind the scheme.
 func IsKey(value string) bool {
-	scheme, _, _ := strings.Cut(strings.TrimSpace(value), " ")
+	scheme := strings.TrimSpace(value)
+	if end := strings.IndexAny(scheme, " \t"); end >= 0 {
+		scheme = scheme[:end]
+	}
 	return strings.EqualFold(scheme, schemeKey)
 }
 
