--- a/server/coordination/control/service.go
+++ b/server/coordination/control/service.go
@@ -90,6 +90,8 @@
 	HighestSequence uint64
 	// StoreEra is the highest era of the platform's store that this node knows of.
 	StoreEra uint64
+	// KeyHistory is what this node knows of keys in earlier configurations.
+	KeyHistory string
 	// LastRejected is the last complete state from a peer that could not be decoded; nil if there was none.
 	LastRejected  *SnapshotRejection
 	Ready         bool
@@ -121,6 +123,7 @@
 			From:          l.inForce.from,
 			Since:         l.inForce.since,
 			HighestOffset: l.HighestOffset(), HighestSequence: l.highest().Sequence, StoreEra: l.storeEra(),
+			KeyHistory:    l.keyHistory.String(),
 			LastRejected:  l.rejections.last,
 			Ready:         l.ready,
 			BlockedReason: state.BlockedReason(),
