--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -23,6 +23,7 @@
 	38001,  // BUDGET: the end of a target that was noticed late was no evidence against the request that had run alone there.
 	630004, // ROUTE, UNASKED: an empty list of organisations was taken for none, so requests needed no key.
 	630008, // QUOTA: nodes that had not read the directory each admitted the whole rate of an organisation.
+	660102, // ROUTE: without the list of organisations, every key was taken, although an earlier configuration had it.
 }
 
 // Guards against promises that the assembled processes break under faults that overlap.
