Guard the fake store of the tests of the history of keys

The product is not concerned. The fake store has a lock, which the steps hold. Bounds and rows are the same.

--- a/server/coordination/keyhistory/keyhistory_test.go
+++ b/server/coordination/keyhistory/keyhistory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,15 +15,19 @@
 	"wagtailford.example/server/state/config"
 )
 
-// fakeStore is a store whose calls may fail.
+// fakeStore is a store whose calls may fail, and the history that the node knows.
 type fakeStore struct {
+	mu           sync.Mutex
 	marked, away bool
 	reads, marks int
+	history      config.KeyHistory
 }
 
 var errAway = errors.New("away")
 
 func (s *fakeStore) IsMarked(context.Context) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reads++
 	if s.away {
 		return false, errAway
@@ -31,6 +36,8 @@
 }
 
 func (s *fakeStore) Mark(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.marks++
 	if s.away {
 		return errAway
@@ -39,22 +46,32 @@
 	return nil
 }
 
+func (s *fakeStore) known() config.KeyHistory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history
+}
+
+func (s *fakeStore) state(h config.KeyHistory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = max(s.history, h)
+}
+
 // play runs a keeper in virtual time. steps are called one after the other, with a time between two that covers several reviews.
-func play(t *testing.T, s *fakeStore, history *config.KeyHistory, steps ...func(k *Keeper)) {
+func play(t *testing.T, s *fakeStore, steps ...func(k *Keeper)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		k := NewKeeper(Dependencies{
-			Store: s, History: func() config.KeyHistory { return *history },
-			State: func(h config.KeyHistory) { *history = max(*history, h) },
-			Log:   &log.Logger{Handler: discard.New()},
-		})
+		k := NewKeeper(Dependencies{Store: s, History: s.known, State: s.state, Log: &log.Logger{Handler: discard.New()}})
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { k.Run(ctx); close(done) }()
 		for _, step := range steps {
 			time.Sleep(3 * reviewInterval)
 			synctest.Wait()
+			s.mu.Lock()
 			step(k)
+			s.mu.Unlock()
 		}
 		stop()
 		<-done
@@ -65,12 +82,11 @@
 func TestHistoryIsUnknownUntilTheStoreHasStatedIt(t *testing.T) {
 	for _, marked := range []bool{false, true} {
 		s := &fakeStore{marked: marked, away: true}
-		var history config.KeyHistory
-		play(t, s, &history, func(*Keeper) {
-			assert.Equal(t, history, config.KeyHistoryUnknown)
+		play(t, s, func(*Keeper) {
+			assert.Equal(t, s.history, config.KeyHistoryUnknown)
 			s.away = false
 		}, func(*Keeper) {
-			assert.Equal(t, history, historyOf(marked))
+			assert.Equal(t, s.history, historyOf(marked))
 			assert.Equal(t, s.marks, 0)
 		})
 	}
@@ -80,10 +96,9 @@
 // was restored from a copy lacks the mark.
 func TestMarkIsWrittenOnce(t *testing.T) {
 	s := &fakeStore{}
-	var history config.KeyHistory
-	play(t, s, &history, func(*Keeper) {
+	play(t, s, func(*Keeper) {
 		s.away = true
-		history = config.KeysIssued
+		s.history = config.KeysIssued
 	}, func(*Keeper) {
 		assert.Assert(t, !s.marked)
 		s.away = false
@@ -97,6 +112,6 @@
 	}, func(*Keeper) {
 		assert.Assert(t, s.marked)
 		assert.Equal(t, s.marks, 1)
-		assert.Equal(t, history, config.KeysIssued)
+		assert.Equal(t, s.history, config.KeysIssued)
 	})
 }
