Decide by one reading of the clock whether a slow upload is given up

Cause: rearm read the clock twice. If the end of the read passed in between, the first reading did not put it off and the second gave it up, and only a read that was put off ends as too slow.

Why it works: extend and the decision use the same instant, so a read whose time is over has been put off.

--- a/server/transport/httpserver/conn.go
+++ b/server/transport/httpserver/conn.go
@@ -157,11 +157,12 @@
 func (c *conn) rearm() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if c.streaming != nil {
-		c.streaming.stream.extend()
+		c.streaming.stream.extend(now)
 	}
 	want := c.readDeadline()
-	if c.interrupted() || !want.IsZero() && !want.After(time.Now()) || c.receiving != nil && c.listener.stopping.Load() {
+	if c.interrupted() || !want.IsZero() && !want.After(now) || c.receiving != nil && c.listener.stopping.Load() {
 		return false
 	}
 	c.arm(want)
--- a/server/transport/httpserver/stream.go
+++ b/server/transport/httpserver/stream.go
@@ -150,9 +150,10 @@
 	return isTimeout(s.c.readErr) && s.extended && !s.c.interrupted() && !s.closed
 }
 
-// extend puts off the end of a read that has just passed, once. It is called with the lock of the connection held.
-func (s *stream) extend() {
-	if now := time.Now(); !s.readUntil.IsZero() && !s.extended && !s.readUntil.After(now) {
+// extend puts off the end of a read that has passed now, once. The caller decides by the same now whether the time is over. It
+// is called with the lock of the connection held.
+func (s *stream) extend(now time.Time) {
+	if !s.readUntil.IsZero() && !s.extended && !s.readUntil.After(now) {
 		s.readUntil, s.extended = now.Add(lastChance), true
 	}
 }
--- a/server/transport/httpserver/stream_test.go
+++ b/server/transport/httpserver/stream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -180,3 +181,27 @@
 	callers.Wait()
 	assert.Equal(t, l.Account.Values().TooSlow, int64(4))
 }
+
+// Guards against a read whose time passes between two readings of the clock: it was given up without the last chance, as a
+// caller that has left instead of one that is too slow.
+func TestEndOfReadIsExtendedAtEachInstant(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := newListener(nil, limits())
+	c := newConn(near, l)
+	defer near.Close()
+	e := &transaction{}
+	e.stream = &stream{c: c, e: e}
+	c.streaming = e
+	given := 0
+	for range 20_000 {
+		e.stream.readUntil, e.stream.extended = time.Now().Add(5*time.Microsecond), false
+		for !e.stream.extended {
+			if !c.rearm() {
+				given++
+				break
+			}
+		}
+	}
+	assert.Equal(t, given, 0)
+}
