--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -230,12 +230,6 @@
 	}).Info("configuration in force")
 }
 
-// logKeyHistory logs what the node has learned of keys in earlier configurations.
-func logKeyHistory(c control.KeyHistoryChange) {
-	log.WithFields(log.Fields{"event": "key_history", "history": c.History.String(), "from": c.From}).
-		Info("learned whether a configuration has had a list of organisations")
-}
-
 // readSource reads configurations, and what the store states of earlier ones, until ctx ends.
 func (h *Hosted) readSource(ctx context.Context) {
 	var keeping sync.WaitGroup
@@ -382,9 +376,6 @@
 // Sequence returns the publisher's number of the configuration in force; 0 if there is none.
 func (h *Hosted) Sequence() uint64 { return h.control.View().Sequence }
 
-// KeyHistory returns what the node knows of keys in earlier configurations.
-func (h *Hosted) KeyHistory() config.KeyHistory { return h.control.View().KeyHistory }
-
 // Run serves until ctx ends, and then stops gracefully within the shutdown timeout.
 func (h *Hosted) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
@@ -484,18 +475,6 @@
 	return longest
 }
 
-// mayTargetCall reports whether the target may run a request, and so make calls for it.
-func (h *Hosted) mayTargetCall() bool {
-	now := time.Now()
-	return h.executor.MayRunRequest(now) || mayBeFromEarlierProcess(now.Sub(h.started), h.longestTimeout())
-}
-
-// mayBeFromEarlierProcess reports whether the target may run a request that an earlier process of this node sent. Such requests are
-// not known, so they are assumed until the longest timeout of a route has passed since this process started.
-func mayBeFromEarlierProcess(age, longest time.Duration) bool {
-	return age < longest+execute.CallMargin
-}
-
 // leave publishes that this node has left. Its directory record is kept: most nodes that stop are restarted at the same
 // address, and the records of the others expire.
 func (h *Hosted) leave() {
