Read the configuration of a store that answers late

Callers: with a store that answers later than 0.8 s, nodes kept the version that they had for good, so that dropped keys and routes stayed in force, and a node that started got no configuration.

Cause: a read is given up 0.8 s after the wait that it asks for, and reads after a failed one ask for none, so that no read succeeds.

Why it works: a failed read starts a patient one of up to 10 s beside the quick ones. Whichever answers first counts, so the end of an outage is noticed as soon as before.

--- a/server/coordination/follow/source_follower.go
+++ b/server/coordination/follow/source_follower.go
@@ -61,6 +61,8 @@
 	// CoalesceDelay is the delay after a read that found a publication, so that publications in quick succession
 	// are read at once.
 	CoalesceDelay time.Duration
+	// PatientTimeout limits the reads by the patient source of NewSourceFollower.
+	PatientTimeout time.Duration
 }
 
 // SourceCounters counts the reads of a SourceFollower and their results.
@@ -99,14 +101,18 @@
 	rankChanged chan struct{}
 	// failing is true after a failed read until a read succeeds.
 	failing bool
+	patient patientReader
 }
 
-// NewSourceFollower returns a follower; Run starts it.
+// NewSourceFollower returns a follower; Run starts it. patient reads the same publications as source, in another goroutine and
+// only while source fails; its calls last until the end of their contexts, those of source until they are late. nil stands for
+// no such reads.
 func NewSourceFollower(
-	source Source, sink SourceSink, settings SourceFollowerSettings, logger log.Interface,
+	source, patient Source, sink SourceSink, settings SourceFollowerSettings, logger log.Interface,
 ) *SourceFollower {
 	return &SourceFollower{
 		source: source, sink: sink, settings: settings, logger: logger, rankChanged: make(chan struct{}, 1),
+		patient: patientReader{source: patient, timeout: settings.PatientTimeout},
 	}
 }
 
@@ -116,12 +122,14 @@
 	delays.InitialInterval = f.settings.RetryMin
 	delays.MaxInterval = f.settings.RetryMax
 	delays.RandomizationFactor = retryJitter
+	defer f.patient.stop()
 	for ctx.Err() == nil {
 		delay := f.settings.CoalesceDelay
 		found, err := f.read(ctx)
 		switch {
 		case err != nil:
-			delay = delays.NextBackOff()
+			f.waitToRetry(ctx, delays.NextBackOff())
+			continue
 		case !found:
 			delays.Reset()
 			f.waitForNextRead(ctx)
@@ -135,46 +143,72 @@
 
 // read reads from the source once and reports whether there was a publication.
 func (f *SourceFollower) read(ctx context.Context) (bool, error) {
-	// A peer may have delivered a newer configuration than the last one read here.
-	f.processed = max(f.processed, f.sink.Offset())
 	f.Counters.Reads.Add(1)
-	wait := f.readWait()
-	began := time.Now()
-	w, err := f.source.Next(ctx, f.processed, wait)
-	read := time.Since(began)
-	var unreadable *UnreadableError
-	if errors.As(err, &unreadable) {
-		f.sourceReachable()
-		f.reject(unreadable.Offset, err)
-		return true, nil
-	}
-	if err != nil {
-		f.sourceUnreachable(ctx, err)
-		return false, err
+	reading := f.patient.limit(ctx)
+	read := readFrom(reading, f.source, f.position(), f.readWait())
+	if read.isFailure() {
+		f.sourceUnreachable(reading, read.err)
+		return false, read.err
 	}
 	f.sourceReachable()
+	return f.take(read), nil
+}
+
+// position returns the offset above which publications are of use. A peer may have delivered a newer configuration than the last
+// one read here.
+func (f *SourceFollower) position() uint64 {
+	f.processed = max(f.processed, f.sink.Offset())
+	return f.processed
+}
+
+// waitToRetry waits after a failed read, at most until a patient read has ended, and takes what that has found.
+func (f *SourceFollower) waitToRetry(ctx context.Context, delay time.Duration) {
+	f.patient.start(ctx, f.position())
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case read := <-f.patient.result:
+		f.patient.finish()
+		f.Counters.Reads.Add(1)
+		if !read.isFailure() {
+			f.take(read)
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// take installs or rejects what a read has found and reports whether there was a publication.
+func (f *SourceFollower) take(read sourceRead) bool {
+	if read.err != nil {
+		var unreadable *UnreadableError
+		errors.As(read.err, &unreadable)
+		f.reject(unreadable.Offset, read.err)
+		return true
+	}
+	w := read.whole
 	if w == nil {
-		return false, nil
+		return false
 	}
-	began = time.Now()
+	began := time.Now()
 	if err := f.sink.InstallWhole(w); err != nil {
 		f.reject(w.Offset, err)
-		return true, nil
+		return true
 	}
 	f.processed = max(f.processed, w.Offset)
 	if f.logSkipped(w) {
-		return true, nil
+		return true
 	}
 	f.Counters.Installed.Add(1)
 	f.logger.WithFields(log.Fields{
 		"event": "configuration", "version": w.Offset, "sequence": w.Sequence, "routes": len(w.Content.Routes),
 		"keys_required": w.Content.RequiresKeys(),
-		"records":       w.Read.Records, "bytes": w.Read.Bytes, "newest": w.Read.Newest, "wait_ms": wait.Milliseconds(),
-		"read_ms": read.Milliseconds(), "decode_ms": w.Read.Decoding.Milliseconds(),
+		"records":       w.Read.Records, "bytes": w.Read.Bytes, "newest": w.Read.Newest, "wait_ms": read.wait.Milliseconds(),
+		"read_ms": read.took.Milliseconds(), "decode_ms": w.Read.Decoding.Milliseconds(),
 		"install_ms": time.Since(began).Milliseconds(),
 	}).Info("configuration in force")
 	f.logUnknownWords(w)
-	return true, nil
+	return true
 }
 
 // logSkipped reports whether the sink has another configuration in force than the one that was read: a newer one that a peer
@@ -276,5 +310,6 @@
 		return
 	}
 	f.failing = false
+	f.patient.stop()
 	f.logger.WithField("event", "dependency_regained").Info("configuration source is reachable again")
 }
--- a/server/coordination/follow/source_follower_test.go
+++ b/server/coordination/follow/source_follower_test.go
@@ -77,7 +77,7 @@
 		settings := SourceFollowerSettings{
 			PollWait: pollWait, RetryMin: 50 * time.Millisecond, RetryMax: 500 * time.Millisecond, CoalesceDelay: time.Second,
 		}
-		NewSourceFollower(source, sink, settings, &log.Logger{Handler: discard.Default}).Run(ctx)
+		NewSourceFollower(source, nil, sink, settings, &log.Logger{Handler: discard.Default}).Run(ctx)
 		assert.DeepEqual(t, sink.sequences, []uint64{1, 4})
 		assert.DeepEqual(t, source.after, []uint64{0, 3, 3, 3, 3, 3, 5, 7, 9, 9})
 		p := pollWait
@@ -96,7 +96,7 @@
 		settings := SourceFollowerSettings{
 			PollWait: 2 * time.Second, BackupPollInterval: 6 * time.Second, CoalesceDelay: time.Second,
 		}
-		f := NewSourceFollower(source, &recordingSink{}, settings, &log.Logger{Handler: discard.Default})
+		f := NewSourceFollower(source, nil, &recordingSink{}, settings, &log.Logger{Handler: discard.Default})
 		f.SetRank(2)
 		began := time.Now()
 		go f.Run(ctx)
@@ -126,7 +126,7 @@
 			whole(4, 2),
 		}}
 		logged := memory.New()
-		f := NewSourceFollower(source, &recordingSink{}, SourceFollowerSettings{CoalesceDelay: time.Second},
+		f := NewSourceFollower(source, nil, &recordingSink{}, SourceFollowerSettings{CoalesceDelay: time.Second},
 			&log.Logger{Handler: logged, Level: log.InfoLevel})
 		f.Run(ctx)
 		assert.DeepEqual(t, f.Counters.Values(), SourceCounterValues{Reads: 3, Installed: 2, UnknownWords: 1})
@@ -158,7 +158,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			lines := memory.New()
 			source := &scriptedSource{end: cancel, answers: []func() (*config.Whole, error){whole(7, 1)}}
-			f := NewSourceFollower(source, skippingSink{c.inForce}, SourceFollowerSettings{PollWait: time.Second}, &log.Logger{Handler: lines})
+			f := NewSourceFollower(source, nil, skippingSink{c.inForce}, SourceFollowerSettings{PollWait: time.Second}, &log.Logger{Handler: lines})
 			f.Run(ctx)
 			assert.Equal(t, f.Counters.Installed.Load(), int64(0))
 			assert.Equal(t, f.Counters.Rejected.Load(), c.rejected)
--- a/server/daemon/hosted.go
+++ b/server/daemon/hosted.go
@@ -82,6 +82,8 @@
 	// sourceRetryMin and sourceRetryMax bound the delay after a failed read, so that the end of an outage is noticed soon.
 	sourceRetryMin = 50 * time.Millisecond
 	sourceRetryMax = 500 * time.Millisecond
+	// sourcePatientTimeout limits the reads beside the quick ones, for a store that answers later than they last.
+	sourcePatientTimeout = 10 * time.Second
 	// sourceGrace is the time within which other nodes are expected to read a new configuration themselves. It covers a
 	// slow store. Nodes that are partitioned from the store get the configuration from peers after this time.
 	sourceGrace = 800 * time.Millisecond
@@ -180,12 +182,19 @@
 		State: h.control.StateKeyHistory, Log: log.Log,
 	})
 	h.platform.OnStoreRestored(h.storeRestored)
-	h.follower = follow.NewSourceFollower(h.platform.Source(h.control.State), &restoredSink{SourceSink: h.control, restored: h.restored}, follow.SourceFollowerSettings{
-		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax, CoalesceDelay: sourceCoalesceDelay,
-	}, log.Log)
+	h.buildFollower()
 	return nil
 }
 
+func (h *Hosted) buildFollower() {
+	source, patient := h.platform.Source(h.control.State), h.platform.Source(h.control.State)
+	sink := &restoredSink{SourceSink: h.control, restored: h.restored}
+	h.follower = follow.NewSourceFollower(source, patient, sink, follow.SourceFollowerSettings{
+		PollWait: sourcePollWait, BackupPollInterval: backupPollInterval, RetryMin: sourceRetryMin, RetryMax: sourceRetryMax,
+		CoalesceDelay: sourceCoalesceDelay, PatientTimeout: sourcePatientTimeout,
+	}, log.Log)
+}
+
 func (h *Hosted) rolesChanged(r fanout.Roles) {
 	h.syncer.SetRoles(r)
 	h.sourceReader.setAssigned(r.ReadsLog)
