Keep the request that may have ended a target when many are sent in vain

Callers: a request that ends targets could run more often than crash_limit allows, because its evidence was lost.

Cause: an executor keeps the last 64 requests whose connections broke. If the end of a target is noticed late (something in front of it accepts connections, so that the probe is not refused), more than 64 later requests break within the second until its reports lapse, and push out the one that ended it.

That test passed over a request without a count; it asks for one now, in all cases.

Why it works: what can't have ended the target gives way first (older than the window, or before a response), then the latest, never the first that got no response.

--- a/server/coordination/execute/crashes.go
+++ b/server/coordination/execute/crashes.go
@@ -1,9 +1,11 @@
 package execute
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -135,11 +137,7 @@
 		c.mu.Unlock()
 		return crashResult{crashed: true}
 	}
-	f.brokenAt = time.Now()
-	c.broken = append(c.broken, f)
-	if len(c.broken) > maxBroken {
-		c.broken = c.broken[1:]
-	}
+	c.addBroken(f, time.Now())
 	c.mu.Unlock()
 	refusing, _, _ := c.probes.Do(address, func() (any, error) { return probe(address), nil })
 	if !refusing.(bool) {
@@ -148,6 +146,22 @@
 	return crashResult{crashed: true, first: c.recordCrash(f.generation, leaving)}
 }
 
+// addBroken keeps a request whose connection broke. If there are too many, one that cannot have ended the target gives way, or else
+// the latest: if the target has ended, those before the end are the first that got no response. The caller holds the lock.
+func (c *crashTracker) addBroken(f *inFlightRequest, now time.Time) {
+	f.brokenAt = now
+	c.broken = append(c.broken, f)
+	if len(c.broken) <= maxBroken {
+		return
+	}
+	since := now.Add(-crashWindow)
+	i := slices.IndexFunc(c.broken, func(f *inFlightRequest) bool { return !f.brokenAt.After(since) || f.sequence < c.responded })
+	if i < 0 {
+		i = slices.Index(c.broken, slices.MaxFunc(c.broken, func(a, b *inFlightRequest) int { return cmp.Compare(a.sequence, b.sequence) }))
+	}
+	c.broken = slices.Delete(c.broken, i, i+1)
+}
+
 // targetRestarted attributes a restart of the target to the requests that it interrupted. It reports whether there
 // were any.
 func (c *crashTracker) targetRestarted(leaving bool) bool {
--- a/server/coordination/execute/crashes_test.go
+++ b/server/coordination/execute/crashes_test.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// Guards against evidence that is lost because the end of a target is noticed late, when other requests have been sent to it in
-// vain; and against evidence from a run that a later response, or an earlier end, clears of the crash.
+// Guards against evidence that is lost because the end of a target is noticed late, when other requests, also
+// many, have been sent to it in vain; and against evidence from a run that a later response, or an earlier end, clears of the crash.
 func TestEvidenceOfACrashThatIsNoticedLate(t *testing.T) {
 	const suspectDigest, otherDigest = 1, 2
 	send := func(c *crashTracker, digest uint64, exclusive bool) *inFlightRequest {
@@ -227,8 +227,12 @@
 	}
 	breaks := func(c *crashTracker, f *inFlightRequest) {
 		delete(c.flights, f)
-		f.brokenAt = time.Now()
-		c.broken = append(c.broken, f)
+		c.addBroken(f, time.Now())
+	}
+	breakMany := func(c *crashTracker, n int) {
+		for range n {
+			breaks(c, send(c, otherDigest, false))
+		}
 	}
 	cases := []struct {
 		name string
@@ -254,17 +258,39 @@
 			c.noteResponse(send(c, otherDigest, false))
 			breaks(c, send(c, suspectDigest, true))
 		}, 1},
+		{"many were sent in vain", func(c *crashTracker) {
+			c.noteResponse(send(c, otherDigest, false))
+			breaks(c, send(c, suspectDigest, true))
+			breakMany(c, 4*maxBroken)
+		}, 1},
+		{"many connections broke before, and another request got a response", func(c *crashTracker) {
+			breakMany(c, 4*maxBroken)
+			c.noteResponse(send(c, otherDigest, false))
+			breaks(c, send(c, suspectDigest, true))
+			breakMany(c, 4*maxBroken)
+		}, 1},
+		{"many connections broke long before", func(c *crashTracker) {
+			breakMany(c, maxBroken)
+			for _, f := range c.broken {
+				f.brokenAt = f.brokenAt.Add(-crashWindow)
+			}
+			breaks(c, send(c, suspectDigest, true))
+			breakMany(c, 4*maxBroken)
+		}, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			n := newNode(t, "127.0.0.1:1", nil)
 			tc.play(n.crashes)
+			assert.Assert(t, len(n.crashes.broken) <= maxBroken)
 			assert.Assert(t, n.crashes.targetRestarted(false))
+			counts := make(map[uint64]uint8)
 			for _, c := range n.crashes.ownLedger().Crashes {
-				if c.Digest == suspectDigest {
-					assert.Equal(t, c.Count, tc.want)
-				}
+				counts[c.Digest] = c.Count
 			}
+			got, counted := counts[suspectDigest]
+			assert.Assert(t, counted, "the request is no suspect")
+			assert.Equal(t, got, tc.want)
 		})
 	}
 }
